--- /dev/null
+++ b/claim/writer.go
@@ -0,0 +1,193 @@
+package claim
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+// Bounds of the writer.
+const (
+	writeTries = 5
+	writePause = 20 * time.Millisecond // least time between writes of one partition
+	keyPrefix  = "claims/"
+)
+
+// Writer claims keys in the platform. Claims of one partition that come while
+// a write is under way share the next one.
+type Writer struct {
+	store  gd.Store
+	clock  gd.Clock
+	holder Holder
+
+	mu       sync.Mutex
+	serial   uint64
+	batches  map[string]*batch
+	writes   sync.WaitGroup
+	stop     context.CancelFunc
+	stopping context.Context
+}
+
+// batch is the claims of one partition that wait for a write.
+type batch struct {
+	key      string
+	pending  []waiter
+	writing  bool
+	revision uint64
+	current  Partition
+	known    bool // current is what revision holds
+}
+
+type waiter struct {
+	entry  Entry
+	result chan<- result
+}
+
+type result struct {
+	standing Entry
+	err      error
+}
+
+// NewWriter returns a writer for the given holder.
+func NewWriter(store gd.Store, clk gd.Clock, holder Holder) *Writer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Writer{store: store, clock: clk, holder: holder, batches: map[string]*batch{}, stop: cancel, stopping: ctx}
+}
+
+// Claim claims k and returns the entry that stands, and whether it is this
+// call's own. An error is of kind ClaimsDown: the claim was not confirmed, so
+// the call must not run.
+func (w *Writer) Claim(ctx context.Context, service string, k Key) (Entry, bool, error) {
+	done := make(chan result, 1)
+	mine := w.submit(service, k, done)
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return Entry{}, false, gd.ClaimsDown.Errorf("claim of the idempotency key: %s", gd.Message(r.err))
+		}
+		return r.standing, r.standing.Holder == mine.Holder && r.standing.Serial == mine.Serial, nil
+	case <-ctx.Done():
+		return Entry{}, false, gd.ClaimsDown.Errorf("the platform did not confirm the claim before the deadline")
+	}
+}
+
+func (w *Writer) submit(service string, k Key, done chan<- result) Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.serial++
+	e := Entry{Key: k, Holder: w.holder, Serial: w.serial, At: w.clock.Now()}
+	name := keyPrefix + service + "/" + strconv.Itoa(k.Partition())
+	b, ok := w.batches[name]
+	if !ok {
+		b = &batch{key: name}
+		w.batches[name] = b
+	}
+	b.pending = append(b.pending, waiter{e, done})
+	if !b.writing && w.stopping.Err() == nil {
+		b.writing = true
+		w.writes.Go(func() { w.writeAll(b) })
+	}
+	return e
+}
+
+// writeAll writes batches until none is pending.
+func (w *Writer) writeAll(b *batch) {
+	for {
+		w.mu.Lock()
+		waiting := b.pending
+		b.pending = nil
+		if len(waiting) == 0 || w.stopping.Err() != nil {
+			b.writing = false
+			w.mu.Unlock()
+			return
+		}
+		w.mu.Unlock()
+		w.write(b, waiting)
+		pause(w.stopping, writePause)
+	}
+}
+
+func (w *Writer) write(b *batch, waiting []waiter) {
+	claims := make([]Entry, len(waiting))
+	for i, c := range waiting {
+		claims[i] = c.entry
+	}
+	standing, err := w.commit(b, claims)
+	for i, c := range waiting {
+		r := result{err: err}
+		if err == nil {
+			r.standing = standing[i]
+		}
+		c.result <- r
+	}
+}
+
+// commit adds the claims by conditional update. After a conflict or a lost
+// answer the object is read back; claims that stand there already with our
+// token are ours.
+func (w *Writer) commit(b *batch, claims []Entry) ([]Entry, error) {
+	var err error
+	for range writeTries {
+		if !b.known {
+			if err = w.read(b); err != nil {
+				pause(w.stopping, writePause)
+				continue
+			}
+		}
+		var next Partition
+		var standing []Entry
+		if next, standing, err = b.current.WithClaims(w.clock.Now(), claims); err != nil {
+			return nil, err
+		}
+		if err = w.put(b, next); err == nil {
+			return standing, nil
+		}
+		b.known = false
+	}
+	return nil, err
+}
+
+func (w *Writer) read(b *batch) error {
+	o, err := w.store.Get(w.stopping, b.key)
+	if err != nil && !gd.NotFound.Is(err) {
+		return err
+	}
+	b.current, b.revision, b.known = Partition{}, o.Revision, true
+	if o.Revision == 0 {
+		return nil
+	}
+	b.current, err = Decode(o.Value)
+	return err
+}
+
+func (w *Writer) put(b *batch, next Partition) error {
+	data, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	o, err := w.store.Put(w.stopping, b.key, data, b.revision)
+	if err != nil {
+		return err
+	}
+	b.current, b.revision = next, o.Revision
+	return nil
+}
+
+// Close gives up what is under way and waits for it.
+func (w *Writer) Close() error {
+	w.stop()
+	w.writes.Wait()
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,65 @@
+// Package clock holds the one notion of time that the decisions use:
+// milliseconds since the Unix epoch, from the system or from a test.
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Time is an instant in milliseconds since the Unix epoch.
+type Time int64
+
+// Add returns the instant d after t, cut to whole milliseconds.
+func (t Time) Add(d time.Duration) Time { return t + Time(d/time.Millisecond) }
+
+// Sub returns the duration from u to t.
+func (t Time) Sub(u Time) time.Duration { return time.Duration(t-u) * time.Millisecond }
+
+// Before reports whether t is earlier than u.
+func (t Time) Before(u Time) bool { return t < u }
+
+// Std returns t as a time.Time in UTC.
+func (t Time) Std() time.Time { return time.UnixMilli(int64(t)).UTC() }
+
+// String returns t in RFC 3339 with milliseconds.
+func (t Time) String() string { return t.Std().Format("2006-01-02T15:04:05.000Z07:00") }
+
+// epoch anchors the monotonic readings of System.
+var epoch = time.Now()
+
+// System reads the machine's clock. The zero value is ready to use.
+type System struct{}
+
+// Now returns the current instant.
+func (System) Now() Time { return Time(time.Now().UnixMilli()) }
+
+// Monotonic returns the time since the process started; it never goes back.
+func (System) Monotonic() time.Duration { return time.Since(epoch) }
+
+// Fake is a clock that moves only when told to. The zero value stands at 0.
+type Fake struct {
+	mu  sync.Mutex
+	now time.Duration
+}
+
+// Now returns the instant the clock stands at.
+func (f *Fake) Now() Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Time(f.now / time.Millisecond)
+}
+
+// Monotonic returns the time by which the clock was advanced.
+func (f *Fake) Monotonic() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// Advance moves the clock forward by d.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now += d
+}
--- /dev/null
+++ b/kind_test.go
@@ -0,0 +1,24 @@
+package geraniumdock
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEveryKindHasItsOwnAnswer(t *testing.T) {
+	is := is.New(t)
+	names := map[string]bool{}
+	for k := range kindCount {
+		a := k.Answer()
+		is.True(a.Status >= 400)              // an error answers with an error status
+		is.True(!names[a.Name])               // names are unique
+		is.Equal(KindNamed(a.Name), k)        // and found again
+		is.Equal(KindOf(k.Errorf("text")), k) // through an error, too
+		is.Equal(a.Elsewhere && a.Outcome != NotRun, false)
+		names[a.Name] = true
+	}
+	is.Equal(KindOf(errors.New("foreign")), Internal)
+	is.Equal(Message(Invalid.Wrapf(errors.New("cause"), "row %d", 3)), "row 3: cause")
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,142 @@
+// Package lease decides when to read, take and renew a lease object in the
+// platform's store. A lapsed lease costs duplicated work and never
+// correctness: whoever relies on it must also write conditionally.
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+// Terms of a lease.
+const (
+	Term       = 10 * time.Second
+	renewAfter = 3 * time.Second
+	retryAfter = 500 * time.Millisecond
+	maxRetry   = 8 * time.Second
+	// Skew bounds how far the clocks of two VMs may differ.
+	Skew = 500 * time.Millisecond
+)
+
+// Record is the content of a lease object.
+type Record struct {
+	Holder  string     `cbor:"1,keyasint"`
+	Address string     `cbor:"2,keyasint"`
+	Zone    string     `cbor:"3,keyasint"` // data centre
+	Expires clock.Time `cbor:"4,keyasint"`
+}
+
+// Encode returns the bytes of r.
+func (r Record) Encode() ([]byte, error) { return cbor.Marshal(r) }
+
+// Decode reads the bytes of a lease object.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return Record{}, gd.Invalid.Wrapf(err, "lease object")
+	}
+	return r, nil
+}
+
+// Action is what the holder of a Lease value does next.
+type Action int
+
+// The actions.
+const (
+	Wait  Action = iota // nothing until Step.At
+	Read                // read the object and call WithRead
+	Write               // write Step.Record if the revision is Step.IfRevision
+)
+
+// Step is the next action.
+type Step struct {
+	Action     Action
+	At         clock.Time
+	Record     Record
+	IfRevision uint64
+}
+
+// Lease is the immutable state of one candidate for one lease. Use New.
+type Lease struct {
+	self     Record
+	seen     Record
+	revision uint64
+	known    bool       // seen and revision are current as far as known
+	held     clock.Time // the lease is ours until then
+	next     clock.Time
+	failures int
+}
+
+// New returns the state of a candidate that has not read the object yet.
+func New(holder, address, dataCentre string) Lease {
+	return Lease{self: Record{Holder: holder, Address: address, Zone: dataCentre}}
+}
+
+// Held reports whether the lease is held at now. A holder that was paused
+// past its term learns it here.
+func (l Lease) Held(now clock.Time) bool { return now.Before(l.held) }
+
+// Holder returns the record last seen.
+func (l Lease) Holder() Record { return l.seen }
+
+// Next returns the next step at now.
+func (l Lease) Next(now clock.Time) Step {
+	if now.Before(l.next) {
+		return Step{Action: Wait, At: l.next}
+	}
+	if !l.known {
+		return Step{Action: Read}
+	}
+	mine := l.seen.Holder == l.self.Holder
+	if l.revision > 0 && !mine && now.Before(l.seen.Expires.Add(Skew)) {
+		return Step{Action: Wait, At: l.seen.Expires.Add(Skew)}
+	}
+	r := l.self
+	r.Expires = now.Add(Term)
+	return Step{Action: Write, Record: r, IfRevision: l.revision}
+}
+
+// WithRead returns the state after the object was read as o; revision 0
+// means that there is none.
+func (l Lease) WithRead(now clock.Time, o gd.Object) Lease {
+	l.known = true
+	l.failures = 0
+	l.revision = o.Revision
+	l.seen = Record{}
+	if r, err := Decode(o.Value); err == nil && o.Revision > 0 {
+		l.seen = r
+	}
+	l.next = now
+	if l.seen.Holder == l.self.Holder && l.seen.Address == l.self.Address {
+		l.held = max(l.held, l.seen.Expires)
+	} else {
+		l.held = 0
+	}
+	return l
+}
+
+// WithWritten returns the state after a write of r at revision was confirmed.
+func (l Lease) WithWritten(now clock.Time, r Record, revision uint64) Lease {
+	l.seen = r
+	l.revision = revision
+	l.known = true
+	l.failures = 0
+	l.held = r.Expires
+	l.next = now.Add(renewAfter)
+	return l
+}
+
+// WithFailure returns the state after a read or write failed. Its outcome may
+// not be known, so the object is read before the next write.
+func (l Lease) WithFailure(now clock.Time, rnd *rand.Rand) Lease {
+	l.known = false
+	backoff := min(retryAfter<<min(l.failures, 8), maxRetry)
+	l.failures++
+	l.next = now.Add(backoff/2 + time.Duration(rnd.Int64N(int64(backoff))))
+	return l
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,180 @@
+// Package link carries control messages between nodes over mutually
+// authenticated QUIC connections, one stream each.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/identity"
+)
+
+// Protocol is the application protocol of control links.
+const Protocol = "geraniumdock-control/1"
+
+// Bounds of a link.
+const (
+	MaxMessageBytes  = 16 << 20
+	idleTimeout      = 6 * time.Second
+	keepAlive        = 2 * time.Second
+	handshakeTimeout = 3 * time.Second
+	sendTimeout      = 5 * time.Second
+	headerBytes      = 4
+)
+
+func config() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIncomingStreams:   1,
+	}
+}
+
+// serverConfig leaves the keep-alive to the side that opened the link: one
+// side's probes and their acknowledgements tell both that the other lives.
+func serverConfig() *quic.Config {
+	c := config()
+	c.KeepAlivePeriod = 0
+	return c
+}
+
+// Conn is a link. Send and Receive may be called by one goroutine each.
+type Conn struct {
+	conn   *quic.Conn
+	stream *quic.Stream
+	peer   string
+}
+
+// Peer returns the name of the node at the other end.
+func (c *Conn) Peer() string { return c.peer }
+
+// Send writes one message.
+func (c *Conn) Send(data []byte) error {
+	if len(data) > MaxMessageBytes {
+		return gd.TooLarge.Errorf("control message of %d bytes", len(data))
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(data))
+	binary.BigEndian.PutUint32(frame, uint32(len(data)))
+	frame = append(frame, data...)
+	if err := c.stream.SetWriteDeadline(clock.System{}.Now().Add(sendTimeout).Std()); err != nil {
+		return gd.Unavailable.Wrapf(err, "link to %s", c.peer)
+	}
+	if _, err := c.stream.Write(frame); err != nil {
+		return gd.Unavailable.Wrapf(err, "link to %s", c.peer)
+	}
+	return nil
+}
+
+// Receive waits for one message.
+func (c *Conn) Receive() ([]byte, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(c.stream, header[:]); err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "link to %s", c.peer)
+	}
+	n := binary.BigEndian.Uint32(header[:])
+	if n > MaxMessageBytes {
+		return nil, gd.Invalid.Errorf("link to %s: message of %d bytes", c.peer, n)
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(c.stream, data); err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "link to %s", c.peer)
+	}
+	return data, nil
+}
+
+// Close ends the link at once.
+func (c *Conn) Close() error { return c.conn.CloseWithError(0, "closed") }
+
+// Endpoint opens and accepts links on one UDP socket.
+type Endpoint struct {
+	id       identity.Identity
+	local    *quic.Transport
+	listener *quic.Listener
+}
+
+// Listen returns an endpoint on the UDP socket, which it owns from then on.
+func Listen(socket net.PacketConn, id identity.Identity) (*Endpoint, error) {
+	local := &quic.Transport{Conn: socket}
+	l, err := local.Listen(id.TLS(Protocol), serverConfig())
+	if err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "control address %s", socket.LocalAddr())
+	}
+	return &Endpoint{id, local, l}, nil
+}
+
+// Dial opens a link to address.
+func (e *Endpoint) Dial(ctx context.Context, address string) (*Conn, error) {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, gd.Invalid.Wrapf(err, "relay address %s", address)
+	}
+	c, err := dial(ctx, e.local, to, e.id.TLS(Protocol))
+	if err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "link to %s", address)
+	}
+	return c, nil
+}
+
+func dial(ctx context.Context, local *quic.Transport, to net.Addr, t *tls.Config) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := local.Dial(ctx, to, t, config())
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		conn.CloseWithError(0, "no stream")
+		return nil, err
+	}
+	return &Conn{conn: conn, stream: stream, peer: identity.PeerName(conn.ConnectionState().TLS)}, nil
+}
+
+// Serve accepts links until ctx ends, and calls handle for each in a goroutine
+// of its own. It returns when all calls of handle have returned.
+func (e *Endpoint) Serve(ctx context.Context, handle func(*Conn)) error {
+	var handlers sync.WaitGroup
+	defer handlers.Wait()
+	for {
+		conn, err := e.listener.Accept(ctx)
+		if err != nil {
+			return gd.Unavailable.Wrapf(err, "accept link")
+		}
+		handlers.Go(func() {
+			if c := e.open(ctx, conn); c != nil {
+				handle(c)
+			}
+		})
+	}
+}
+
+// open waits for the stream of a new connection; the dialling side opens it
+// and sends at once.
+func (e *Endpoint) open(ctx context.Context, conn *quic.Conn) *Conn {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	stream, err := conn.AcceptStream(ctx)
+	if err != nil {
+		conn.CloseWithError(0, "no stream")
+		return nil
+	}
+	return &Conn{conn: conn, stream: stream, peer: identity.PeerName(conn.ConnectionState().TLS)}
+}
+
+// Close ends all links of the endpoint.
+func (e *Endpoint) Close() error {
+	err := e.listener.Close()
+	e.local.Close()
+	e.local.Conn.Close()
+	return err
+}
--- /dev/null
+++ b/node/attempt.go
@@ -0,0 +1,263 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/claim"
+	"github.com/geraniumdock/geraniumdock/retry"
+	"github.com/geraniumdock/geraniumdock/server"
+	"github.com/geraniumdock/geraniumdock/table"
+)
+
+// chooser guards the estimates that all calls of the ingress share.
+type chooser struct {
+	mu        sync.Mutex
+	rnd       *rand.Rand
+	estimates *server.Estimates
+}
+
+func (ch *chooser) init(place server.Place, seed uint64) {
+	ch.rnd = rand.New(rand.NewPCG(seed, chooserStream))
+	ch.estimates = server.NewEstimates(place)
+}
+
+const chooserStream = 6
+
+func (ch *chooser) choose(now time.Duration, serving []server.Record, tried []string) (server.Choice, bool) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	choice, ok := ch.estimates.Choose(now, serving, tried, ch.rnd)
+	if ok {
+		ch.estimates.Sent(now, choice.Server.Node)
+	}
+	return choice, ok
+}
+
+func (ch *chooser) sent(now time.Duration, node string) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.estimates.Sent(now, node)
+}
+
+// ended notes how a call to node went.
+func (ch *chooser) ended(now time.Duration, node string, load server.Load, heard bool, err error) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.estimates.Ended(now, node)
+	if heard {
+		ch.estimates.Heard(now, node, load)
+	}
+	switch k := gd.KindOf(err); {
+	case err == nil:
+	case k == gd.QueueFull, k == gd.Hopeless, k == gd.RateLimited:
+		ch.estimates.Shed(now, node)
+	case k.Answer().Elsewhere, k == gd.Unknown:
+		ch.estimates.Failed(now, node)
+	}
+}
+
+func (ch *chooser) retain(d server.Directory) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.estimates.Retain(d)
+}
+
+// budgets are the retry budgets by caller and service. The table bounds their
+// number.
+type budgets struct {
+	mu      sync.Mutex
+	budgets map[budgetKey]*retry.Budget
+}
+
+type budgetKey struct{ caller, service string }
+
+func (b *budgets) do(c *call, f func(*retry.Budget) bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.budgets == nil {
+		b.budgets = map[budgetKey]*retry.Budget{}
+	}
+	k := budgetKey{c.caller, c.service}
+	if b.budgets[k] == nil {
+		b.budgets[k] = &retry.Budget{}
+	}
+	return f(b.budgets[k])
+}
+
+// answered is the answer of a server.
+type answered struct {
+	node     string
+	response *http.Response
+	close    func()
+}
+
+// attempt sends the call to servers until one answers or no further attempt is
+// allowed.
+func (n *Node) attempt(ctx context.Context, c *call, row *table.Row) (*answered, error) {
+	n.budgets.do(c, func(b *retry.Budget) bool {
+		b.Called(n.cfg.Clock.Monotonic(), row.RetryAllowance)
+		return true
+	})
+	var tried []string
+	var last error
+	for i := range retry.MaxAttempts {
+		s, ok := n.choose(c, row, tried)
+		if !ok {
+			break
+		}
+		a, err := n.attemptOn(ctx, c, s)
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		tried = append(tried, s.Node)
+		if i+1 == retry.MaxAttempts || !n.mayRetry(ctx, c, row, err) {
+			return nil, err
+		}
+	}
+	if last != nil {
+		return nil, last
+	}
+	return nil, gd.NoServer.Errorf("no server of service %s takes calls", c.service)
+}
+
+// choose picks a server and logs the choice.
+func (n *Node) choose(c *call, row *table.Row, tried []string) (server.Record, bool) {
+	serving := n.snapshot.Load().serving[c.service]
+	if row.Deduplication == table.DedupPlatform && c.key != "" {
+		return n.chooseOwner(c, serving, tried)
+	}
+	choice, ok := n.chooser.choose(n.cfg.Clock.Monotonic(), serving, tried)
+	if ok {
+		n.log.Info("server chosen", "service", c.service, "caller", c.caller, "server", choice.Server.Node, "attempt", len(tried)+1, "candidates", candidates{choice.Candidates})
+	}
+	return choice.Server, ok
+}
+
+// candidates are formatted only if the line is written.
+type candidates struct{ list []server.Candidate }
+
+func (l candidates) String() string {
+	var b strings.Builder
+	for i, c := range l.list {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(c.Node)
+		b.WriteByte('=')
+		b.WriteString(strconv.FormatInt(c.Wait.Microseconds(), 10))
+		b.WriteString("us")
+	}
+	return b.String()
+}
+
+// chooseOwner picks the server whose node claims the call's key, so that
+// repeats find the first answer there. The next in order stands in for it only
+// if the owner says that the call did not run.
+func (n *Node) chooseOwner(c *call, serving []server.Record, tried []string) (server.Record, bool) {
+	byNode := map[string]server.Record{}
+	var nodes []string
+	for _, r := range serving {
+		byNode[r.Node] = r
+		nodes = append(nodes, r.Node)
+	}
+	partition := claim.KeyOf(c.service, c.caller, c.key).Partition()
+	order := claim.Owner(c.service, partition, nodes)
+	if len(tried) >= len(order) {
+		return server.Record{}, false
+	}
+	s := byNode[order[len(tried)]]
+	n.chooser.sent(n.cfg.Clock.Monotonic(), s.Node)
+	n.log.Info("server chosen", "service", c.service, "caller", c.caller, "server", s.Node, "attempt", len(tried)+1, "claim-partition", partition)
+	return s, true
+}
+
+// attemptOn sends the call to one server.
+func (n *Node) attemptOn(ctx context.Context, c *call, s server.Record) (*answered, error) {
+	res, err := n.send(ctx, c, s)
+	if err == nil {
+		err = errorOf(res)
+	}
+	var load server.Load
+	heard := false
+	if res != nil {
+		load, heard = parseLoad(res.Header.Get(loadHeader))
+	}
+	if err != nil {
+		if res != nil {
+			res.Body.Close()
+		}
+		n.chooser.ended(n.cfg.Clock.Monotonic(), s.Node, load, heard, err)
+		return nil, n.afterDeadline(ctx, err)
+	}
+	return &answered{s.Node, res, func() {
+		res.Body.Close()
+		n.chooser.ended(n.cfg.Clock.Monotonic(), s.Node, load, heard, nil)
+	}}, nil
+}
+
+// afterDeadline names the deadline as the reason of a failure that it caused.
+func (n *Node) afterDeadline(ctx context.Context, err error) error {
+	if ctx.Err() != nil && gd.Unknown.Is(err) {
+		return gd.TimedOut.Errorf("the deadline passed before the server answered")
+	}
+	return err
+}
+
+// mayRetry reports whether the call may be sent to another server after err.
+func (n *Node) mayRetry(ctx context.Context, c *call, row *table.Row, err error) bool {
+	k := gd.KindOf(err)
+	safe := k.Answer().Elsewhere || k == gd.Unknown && row.IsIdempotent(c.request.Method)
+	if !safe || ctx.Err() != nil || !c.body.again() {
+		return false
+	}
+	allowed := n.budgets.do(c, func(b *retry.Budget) bool { return b.Take(n.cfg.Clock.Monotonic()) })
+	n.log.Info("retry decided", "caller", c.caller, "service", c.service, "after", k, "allowed", allowed)
+	if allowed {
+		n.counters.count(c.service, c.caller, "retry")
+	}
+	return allowed
+}
+
+// sendToPeer sends the call to another node. An error of kind Draining means
+// that no byte of it was sent.
+func (n *Node) sendToPeer(ctx context.Context, c *call, s server.Record) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req := (&http.Request{
+		Method: c.request.Method,
+		URL:    &url.URL{Scheme: "https", Host: s.Address, Path: c.request.URL.Path, RawPath: c.request.URL.RawPath, RawQuery: c.request.URL.RawQuery},
+		Header: c.request.Header.Clone(),
+		Host:   c.request.Host,
+	}).WithContext(ctx)
+	c.body.setBody(req)
+	if !c.body.replay {
+		// The peer decides before any of the body is taken, so that a
+		// refused upload can still go elsewhere.
+		req.Header.Set("Expect", "100-continue")
+	}
+	req.Header.Set(callerHeader, c.caller)
+	req.Header.Set(serviceHeader, c.service)
+	req.Header.Set(fingerprintHeader, strconv.FormatUint(uint64(c.fingerprint), 16))
+	req.Header.Set(timeoutHeader, formatMS(c.remaining(n.cfg.Clock.Monotonic())))
+	res, err := n.peers.RoundTrip(req)
+	if err == nil {
+		return res, nil
+	}
+	if !connected.Load() {
+		return nil, gd.Draining.Wrapf(err, "node %s cannot be reached", s.Node)
+	}
+	return nil, gd.Unknown.Wrapf(err, "connection to node %s", s.Node)
+}
--- /dev/null
+++ b/node/call.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+// Headers between nodes, and towards callers those that tell of an outcome.
+// Callers' own headers with the prefix are removed.
+const (
+	headerPrefix      = "Geraniumdock-"
+	callerHeader      = headerPrefix + "Caller"
+	serviceHeader     = headerPrefix + "Service"
+	timeoutHeader     = headerPrefix + "Timeout-Ms"
+	fingerprintHeader = headerPrefix + "Fingerprint"
+	loadHeader        = headerPrefix + "Load"
+	kindHeader        = headerPrefix + "Error"
+	outcomeHeader     = headerPrefix + "Outcome"
+	keyHeader         = "Idempotency-Key"
+)
+
+// maxReplayBytes is the largest body that is kept for another attempt.
+const maxReplayBytes = 64 << 10
+
+// call is a call on its way to a backend server.
+type call struct {
+	caller      string
+	service     string
+	fingerprint quarantine.Fingerprint
+	key         string // idempotency key, empty for none
+	deadline    time.Duration
+	request     *http.Request // the caller's, or the ingress's at the station
+	body        *body
+}
+
+// body is a request body that knows whether any of it was taken.
+type body struct {
+	head   []byte // the whole body, if replay
+	replay bool
+	rest   io.ReadCloser
+	taken  atomic.Bool
+	length int64
+}
+
+// newBody keeps a small body for further attempts; a larger one streams.
+func newBody(r *http.Request) (*body, error) {
+	if r.ContentLength < 0 || r.ContentLength > maxReplayBytes {
+		return &body{rest: r.Body, length: r.ContentLength}, nil
+	}
+	head := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, head); err != nil {
+		return nil, gd.Invalid.Wrapf(err, "request body")
+	}
+	return &body{head: head, replay: true, length: r.ContentLength}, nil
+}
+
+// again reports whether another attempt can send the whole body.
+func (b *body) again() bool { return b.replay || !b.taken.Load() }
+
+// reader returns the body for one attempt. It is never nil and offers no way
+// to be read twice, so that the HTTP client cannot repeat the request itself.
+func (b *body) reader() io.ReadCloser {
+	if b.replay {
+		return &replayed{data: b.head}
+	}
+	return &streamed{b}
+}
+
+// replayed reads a kept body.
+type replayed struct{ data []byte }
+
+func (r *replayed) Read(p []byte) (int, error) {
+	if len(r.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.data)
+	r.data = r.data[n:]
+	return n, nil
+}
+
+func (r *replayed) Close() error { return nil }
+
+// streamed reads the caller's body. Close leaves it open for another attempt.
+type streamed struct{ b *body }
+
+func (s *streamed) Read(p []byte) (int, error) {
+	s.b.taken.Store(true)
+	return s.b.rest.Read(p)
+}
+
+func (s *streamed) Close() error { return nil }
+
+// setBody gives the outgoing request the call's body.
+func (b *body) setBody(r *http.Request) {
+	r.Header.Del("Expect")
+	r.ContentLength = b.length
+	r.Body = b.reader()
+	r.GetBody = nil
+	if b.length != 0 {
+		return
+	}
+	// An empty body is sent without a chunk. The client repeats such a
+	// request by itself if it carries an idempotency key under its canonical
+	// name or has a method that it takes to be idempotent, so the name is
+	// hidden, and only methods that usually lack a body keep an opaque one.
+	if r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch || r.Method == http.MethodDelete {
+		r.Body = http.NoBody
+		hideKey(r.Header)
+	}
+}
+
+func hideKey(h http.Header) {
+	for _, name := range []string{keyHeader, "X-" + keyHeader} {
+		if v, ok := h[name]; ok {
+			delete(h, name)
+			h[strings.ToLower(name)] = v
+		}
+	}
+}
+
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// stripHeaders removes what belongs to one connection, and the system's own.
+func stripHeaders(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	for name := range h {
+		if strings.HasPrefix(http.CanonicalHeaderKey(name), headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// formatLoad and parseLoad are the form of a server's load in a header.
+func formatLoad(l server.Load) string {
+	return strconv.Itoa(l.Queued) + " " + strconv.Itoa(l.Running) + " " + strconv.FormatInt(l.Service.Microseconds(), 10)
+}
+
+func parseLoad(s string) (server.Load, bool) {
+	fields := strings.Fields(s)
+	if len(fields) != 3 {
+		return server.Load{}, false
+	}
+	var n [3]int
+	for i, f := range fields {
+		v, err := strconv.Atoi(f)
+		if err != nil || v < 0 {
+			return server.Load{}, false
+		}
+		n[i] = v
+	}
+	return server.Load{Queued: n[0], Running: n[1], Service: time.Duration(n[2]) * time.Microsecond}, true
+}
+
+// parseTimeout reads a number of milliseconds; 0 stands for none.
+func parseTimeout(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, gd.Invalid.Errorf("header %s: %q is not a positive number of milliseconds", timeoutHeader, s)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// formatMS writes a duration in whole milliseconds, at least 1.
+func formatMS(d time.Duration) string {
+	return strconv.FormatInt(max(1, d.Milliseconds()), 10)
+}
+
+// writeError answers with the error's kind, outcome and advice.
+func writeError(w http.ResponseWriter, err error) {
+	k := gd.KindOf(err)
+	a := k.Answer()
+	h := w.Header()
+	h.Set(kindHeader, a.Name)
+	h.Set(outcomeHeader, string(a.Outcome))
+	h.Set("Content-Type", "application/json")
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(a.RetryAfter.Seconds())))
+	}
+	if k == gd.Unauthenticated {
+		h.Set("Proxy-Authenticate", "Bearer")
+	}
+	w.WriteHeader(a.Status)
+	writeJSON(w, wireError{a.Name, string(a.Outcome), gd.Message(err), a.RetryAfter.Milliseconds()})
+}
+
+// wireError is the body of an answer that the system itself gives.
+type wireError struct {
+	Error        string `json:"error"`
+	Outcome      string `json:"outcome"`
+	Message      string `json:"message"`
+	RetryAfterMS int64  `json:"retry-after-ms,omitempty"`
+}
+
+// errorOf returns the error that another node answered with, or nil if the
+// answer is the backend server's.
+func errorOf(res *http.Response) error {
+	name := res.Header.Get(kindHeader)
+	if name == "" {
+		return nil
+	}
+	k := gd.KindNamed(name)
+	message := name
+	if data, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes)); err == nil {
+		message = messageIn(data, name)
+	}
+	return k.Errorf("%s", message)
+}
+
+const maxErrorBytes = 4 << 10
+
+const copyBytes = 32 << 10
+
+// stream copies the answer's body to the caller and may flush as it goes. An
+// answer that is cut short is cut short for the caller, too.
+func stream(w http.ResponseWriter, from io.Reader, flush bool) error {
+	flusher := http.NewResponseController(w)
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case flush && n < copyBytes:
+			if ferr := flusher.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+	}
+}
+
+// copyAnswer passes the answer on, or breaks the connection if it breaks off.
+func copyAnswer(w http.ResponseWriter, res *http.Response) error {
+	for name, values := range res.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(res.StatusCode)
+	return stream(w, res.Body, res.ContentLength < 0)
+}
+
+// remaining returns the time until the deadline of the call.
+func (c *call) remaining(now time.Duration) time.Duration { return c.deadline - now }
+
+// bound limits ctx to the call's deadline.
+func (c *call) bound(ctx context.Context, now time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, c.remaining(now))
+}
--- /dev/null
+++ b/node/ingress.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/identity"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+	"github.com/geraniumdock/geraniumdock/table"
+)
+
+// Bounds of the callers' connections.
+const (
+	headerTimeout = 10 * time.Second
+	idleCaller    = 2 * time.Minute
+	maxHeader     = 64 << 10
+)
+
+func (n *Node) newCallsServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(n.serveCaller),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleCaller,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+// serveCaller takes a caller's call.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	n.calls.Add(1)
+	defer n.calls.Done()
+	c, row, err := n.accept(r)
+	if err != nil {
+		n.refuseCall(w, r, c, err)
+		return
+	}
+	ctx, cancel := c.bound(r.Context(), n.cfg.Clock.Monotonic())
+	defer cancel()
+	a, err := n.attempt(ctx, c, row)
+	if err != nil {
+		n.refuseCall(w, r, c, err)
+		return
+	}
+	defer a.close()
+	a.response.Header.Del(loadHeader)
+	if err := copyAnswer(w, a.response); err != nil {
+		n.counters.count(c.service, c.caller, "cut")
+		n.log.Warn("answer cut", "caller", c.caller, "service", c.service, "server", a.node, "error", err)
+		// Without this the caller would take what came for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	n.counters.count(c.service, c.caller, string(gd.Answered))
+}
+
+func (n *Node) refuseCall(w http.ResponseWriter, r *http.Request, c *call, err error) {
+	k := gd.KindOf(err)
+	caller, service := "-", "-"
+	if c != nil {
+		caller, service = c.caller, c.service
+	}
+	n.counters.count(service, caller, k.String())
+	n.log.Info("call refused", "caller", caller, "service", service, "method", r.Method, "kind", k, "outcome", k.Answer().Outcome, "reason", gd.Message(err))
+	writeError(w, err)
+}
+
+// accept identifies the caller and finds the service and the row.
+func (n *Node) accept(r *http.Request) (*call, *table.Row, error) {
+	s := n.snapshot.Load()
+	if s.policy == nil {
+		return nil, nil, gd.NotReady.Errorf("node %s has not learned the current table yet", n.name)
+	}
+	caller, err := identify(s.policy, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	svc, ok := s.policy.Route(r.URL.Path)
+	if !ok {
+		return nil, nil, gd.NoRoute.Errorf("no service has a route for %s", r.URL.Path)
+	}
+	c := &call{caller: caller, service: svc.Name, key: r.Header.Get(keyHeader), request: r}
+	row, err := rowOf(s.policy, svc.Name, caller)
+	if err != nil {
+		return c, nil, err
+	}
+	if err := n.prepare(c, row); err != nil {
+		return c, nil, err
+	}
+	if s.register.Verdict(n.cfg.Clock.Now(), c.fingerprint) == quarantine.Refused {
+		return c, nil, gd.Quarantined.Errorf("requests like this one crashed two servers")
+	}
+	return c, row, nil
+}
+
+// identify returns the caller whose token the request shows.
+func identify(p *table.Policy, r *http.Request) (string, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Proxy-Authorization"), "Bearer ")
+	if !ok {
+		return "", gd.Unauthenticated.Errorf("header Proxy-Authorization with a bearer token is missing")
+	}
+	caller, ok := p.CallerOf(identity.TokenHash(token))
+	if !ok {
+		return "", gd.Unauthenticated.Errorf("the token is not in the table")
+	}
+	return caller, nil
+}
+
+// prepare sets the call's deadline, body and fingerprint.
+func (n *Node) prepare(c *call, row *table.Row) error {
+	asked, err := parseTimeout(c.request.Header.Get(timeoutHeader))
+	if err != nil {
+		return err
+	}
+	timeout := row.Timeout
+	if asked > 0 {
+		timeout = min(timeout, asked)
+	}
+	c.deadline = n.cfg.Clock.Monotonic() + timeout
+	if c.body, err = newBody(c.request); err != nil {
+		return err
+	}
+	if c.request.Header.Get("Upgrade") != "" {
+		return gd.Invalid.Errorf("header Upgrade: protocol upgrades are not passed on")
+	}
+	stripHeaders(c.request.Header)
+	c.fingerprint = quarantine.Of(c.caller, c.request.Method, c.request.URL.RequestURI()+" "+strconv.FormatInt(c.body.length, 10), c.body.head)
+	return nil
+}
+
+// Probes on connections between nodes: a connection on which nothing comes
+// back is found dead within probeAfter + probeWait.
+const (
+	probeAfter   = time.Second
+	probeWait    = time.Second
+	peerIdle     = 10 * time.Second
+	peerDial     = time.Second
+	peerProtocol = "h2"
+)
+
+func newPeerTransport(id identity.Identity) *http.Transport {
+	d := &net.Dialer{Timeout: peerDial}
+	t := &http.Transport{
+		DialContext:           d.DialContext,
+		TLSClientConfig:       id.TLS(peerProtocol),
+		TLSHandshakeTimeout:   peerDial,
+		IdleConnTimeout:       peerIdle,
+		DisableCompression:    true,
+		ForceAttemptHTTP2:     true,
+		ExpectContinueTimeout: time.Hour, // the call's deadline ends the wait
+		HTTP2:                 &http.HTTP2Config{SendPingTimeout: probeAfter, PingTimeout: probeWait},
+	}
+	t.Protocols = new(http.Protocols)
+	t.Protocols.SetHTTP2(true)
+	return t
+}
+
+func (n *Node) newPeersServer() *http.Server {
+	s := &http.Server{
+		Handler:           http.HandlerFunc(n.servePeer),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeader,
+		TLSConfig:         n.cfg.Identity.TLS(peerProtocol),
+		ErrorLog:          n.log.Named("peers").StandardLogger(nil),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams},
+	}
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetHTTP2(true)
+	return s
+}
+
+const maxPeerStreams = 2000
+
+// servePeer runs a call that another node's ingress sent.
+func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
+	c, err := n.peerCall(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	ctx, cancel := c.bound(r.Context(), n.cfg.Clock.Monotonic())
+	defer cancel()
+	res, err := n.station.do(ctx, c)
+	if err != nil {
+		w.Header().Set(loadHeader, formatLoad(n.station.load()))
+		n.log.Debug("call not answered", "caller", c.caller, "service", c.service, "kind", gd.KindOf(err), "reason", gd.Message(err))
+		writeError(w, err)
+		return
+	}
+	defer res.Body.Close()
+	if err := copyAnswer(w, res); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// peerCall reads the call from the headers that only nodes can set.
+func (n *Node) peerCall(r *http.Request) (*call, error) {
+	timeout, err := parseTimeout(r.Header.Get(timeoutHeader))
+	if err != nil {
+		return nil, err
+	}
+	fp, err := strconv.ParseUint(r.Header.Get(fingerprintHeader), 16, 64)
+	if err != nil {
+		return nil, gd.Invalid.Errorf("header %s: not a hexadecimal number", fingerprintHeader)
+	}
+	return &call{
+		caller:      r.Header.Get(callerHeader),
+		service:     r.Header.Get(serviceHeader),
+		fingerprint: quarantine.Fingerprint(fp),
+		key:         r.Header.Get(keyHeader),
+		deadline:    n.cfg.Clock.Monotonic() + timeout,
+		request:     r,
+		body:        &body{rest: r.Body, length: r.ContentLength},
+	}, nil
+}
+
+// send sends the call to the server's node, or runs it here if that is this
+// node.
+func (n *Node) send(ctx context.Context, c *call, s server.Record) (*http.Response, error) {
+	if s.Node == n.name {
+		return n.station.do(ctx, c)
+	}
+	return n.sendToPeer(ctx, c, s)
+}
--- /dev/null
+++ b/node/role.go
@@ -0,0 +1,455 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/lease"
+	"github.com/geraniumdock/geraniumdock/limit"
+	"github.com/geraniumdock/geraniumdock/link"
+	"github.com/geraniumdock/geraniumdock/relay"
+	"github.com/geraniumdock/geraniumdock/table"
+)
+
+// Keys in the platform's store.
+const (
+	seatPrefix = "relay/"
+	poolPrefix = "limits/"
+)
+
+const (
+	watchWait    = 5 * time.Second // a watch is renewed, and doubled by a read, this often
+	listEvery    = 5 * time.Second
+	seatGrace    = 20 * time.Second // an expired seat is still listed this long
+	allotTries   = 6
+	watchPause   = 500 * time.Millisecond
+	allotTimeout = 4 * time.Second
+)
+
+func seatKey(dataCentre string, index int) string {
+	return seatPrefix + dataCentre + "/" + strconv.Itoa(index)
+}
+
+// listSeats returns the relays whose leases have not been over for long.
+func (n *Node) listSeats(ctx context.Context) ([]relay.Seat, error) {
+	objects, err := n.cfg.Store.List(ctx, seatPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var seats []relay.Seat
+	for _, o := range objects {
+		r, err := lease.Decode(o.Value)
+		if err != nil || r.Expires.Add(seatGrace) < n.cfg.Clock.Now() {
+			continue
+		}
+		index, err := strconv.Atoi(o.Key[strings.LastIndexByte(o.Key, '/')+1:])
+		if err != nil {
+			continue
+		}
+		seats = append(seats, relay.Seat{Node: r.Holder, DataCentre: r.Zone, Address: r.Address, Index: index})
+	}
+	return seats, nil
+}
+
+// stand makes the node a candidate for a relay's seat.
+func (c *control) stand(index int) {
+	if c.seat != nil {
+		return
+	}
+	c.n.log.Info("standing for relay", "seat", index)
+	c.seat = &seat{index: index, lease: lease.New(c.n.name, c.n.PeersAddress(), c.n.cfg.DataCentre)}
+}
+
+// stepSeat does the next step of the candidacy.
+func (c *control) stepSeat(ctx context.Context) {
+	s := c.seat
+	if s == nil || s.busy {
+		return
+	}
+	step := s.lease.Next(c.now())
+	switch step.Action {
+	case lease.Read:
+		s.busy = true
+		go c.n.readSeat(ctx, s)
+	case lease.Write:
+		s.busy = true
+		go c.n.writeSeat(ctx, s, step)
+	}
+}
+
+func (n *Node) readSeat(ctx context.Context, s *seat) {
+	o, err := n.cfg.Store.Get(ctx, seatKey(n.cfg.DataCentre, s.index))
+	n.post(func(c *control) {
+		s.busy = false
+		if err != nil && !gd.NotFound.Is(err) {
+			s.lease = s.lease.WithFailure(c.now(), c.rnd)
+			return
+		}
+		s.lease = s.lease.WithRead(c.now(), o)
+		c.checkRival(s)
+	})
+}
+
+// checkRival gives up the candidacy or the role if another node has the seat.
+func (c *control) checkRival(s *seat) {
+	holder := s.lease.Holder()
+	if holder.Holder == "" || holder.Holder == c.n.name || holder.Expires.Add(lease.Skew) < c.now() {
+		return
+	}
+	c.n.log.Info("seat is held by another node", "seat", s.index, "holder", holder.Holder)
+	c.seat = nil
+	c.endRole()
+}
+
+func (n *Node) writeSeat(ctx context.Context, s *seat, step lease.Step) {
+	data, err := step.Record.Encode()
+	var o gd.Object
+	if err == nil {
+		o, err = n.cfg.Store.Put(ctx, seatKey(n.cfg.DataCentre, s.index), data, step.IfRevision)
+	}
+	n.post(func(c *control) {
+		s.busy = false
+		if err != nil {
+			// A lost answer and a lost race are both settled by reading.
+			s.lease = s.lease.WithFailure(c.now(), c.rnd)
+			return
+		}
+		s.lease = s.lease.WithWritten(c.now(), step.Record, o.Revision)
+		c.beginRole(ctx)
+	})
+}
+
+// beginRole makes the node a relay.
+func (c *control) beginRole(ctx context.Context) {
+	if c.hub != nil || ctx.Err() != nil {
+		return
+	}
+	c.n.log.Info("relay role taken", "seat", c.seat.index)
+	c.hub = relay.NewHub(c.n.name, c.n.cfg.DataCentre, c.n.cfg.Gather, c.n.random(3))
+	head, chunks := c.follower.Head()
+	c.hub.SetHead(c.now(), head, chunks)
+	if c.up != nil {
+		c.up.close()
+		c.up = nil
+	}
+	c.deliver(c.hub.Join(c.now(), c.follower.Hello()))
+	ctx, cancel := context.WithCancel(ctx)
+	var services sync.WaitGroup
+	services.Go(func() { c.n.watchHead(ctx) })
+	services.Go(func() { c.n.watchSeats(ctx) })
+	c.role = func() {
+		cancel()
+		go services.Wait()
+	}
+}
+
+// endRole makes the node an ordinary one again and sends its links elsewhere.
+func (c *control) endRole() {
+	if c.hub == nil {
+		return
+	}
+	c.n.log.Info("relay role ended")
+	for _, l := range c.links {
+		l.send(&relay.Seats{Seats: withoutNode(c.seats, c.n.name), Redirect: true})
+		l.flush()
+	}
+	c.stopRole()
+	c.hub = nil
+}
+
+func (c *control) stopRole() {
+	if c.role == nil {
+		return
+	}
+	c.role()
+	c.role = nil
+	for _, l := range c.links {
+		l.close()
+	}
+	for _, l := range c.peers {
+		l.close()
+	}
+	c.links = map[string]*peerLink{}
+	c.peers = map[string]*peerLink{}
+}
+
+// watchHead gives the hub each version that the platform accepts. A watch that
+// stalls costs at most watchWait, since each one is followed by a read.
+func (n *Node) watchHead(ctx context.Context) {
+	rnd := n.random(4)
+	var revision uint64
+	for ctx.Err() == nil {
+		o, err := n.cfg.Store.Get(ctx, table.HeadKey)
+		if err == nil && o.Revision != revision {
+			err = n.loadHead(ctx, o)
+		}
+		if err == nil {
+			revision = o.Revision
+		}
+		if err == nil || gd.NotFound.Is(err) {
+			o, err = n.cfg.Store.Watch(ctx, table.HeadKey, revision, watchWait)
+		}
+		if err == nil && o.Revision > revision && n.loadHead(ctx, o) == nil {
+			revision = o.Revision
+			continue
+		}
+		if !gd.TimedOut.Is(err) {
+			sleep(ctx, watchPause/2+time.Duration(rnd.Int64N(int64(watchPause))))
+		}
+	}
+}
+
+// loadHead reads the chunks that the hub lacks and hands it the version.
+func (n *Node) loadHead(ctx context.Context, o gd.Object) error {
+	head, err := table.DecodeHead(o.Value)
+	if err != nil {
+		n.log.Error("table head in the platform cannot be read", "error", err)
+		return nil // only a newer head helps
+	}
+	have, ok := query(ctx, n, func(c *control) table.Chunks {
+		if c.hub == nil {
+			return nil
+		}
+		_, chunks := c.hub.Head()
+		return chunks
+	})
+	if !ok {
+		return ctx.Err()
+	}
+	chunks, err := table.Fetch(ctx, n.cfg.Store, head, have)
+	if err != nil {
+		return err
+	}
+	n.post(func(c *control) {
+		if c.hub != nil {
+			c.hub.SetHead(c.now(), head, chunks)
+		}
+	})
+	return nil
+}
+
+// watchSeats keeps the list of relays and the links to them current.
+func (n *Node) watchSeats(ctx context.Context) {
+	links := map[relay.Seat]context.CancelFunc{}
+	var running sync.WaitGroup
+	defer running.Wait()
+	for ctx.Err() == nil {
+		if seats, err := n.listSeats(ctx); err == nil {
+			n.post(func(c *control) { c.setSeats(seats) })
+			n.linkRelays(ctx, seats, links, &running)
+		}
+		sleep(ctx, listEvery)
+	}
+}
+
+func (c *control) setSeats(seats []relay.Seat) {
+	c.seats = seats
+	if c.hub != nil {
+		c.deliver(c.hub.SetSeats(seats))
+	}
+}
+
+// linkRelays opens links to relays that are new and ends those to relays that
+// are gone.
+func (n *Node) linkRelays(ctx context.Context, seats []relay.Seat, links map[relay.Seat]context.CancelFunc, running *sync.WaitGroup) {
+	listed := map[relay.Seat]bool{}
+	for _, s := range seats {
+		listed[s] = true
+		if _, ok := links[s]; ok || s.Node == n.name {
+			continue
+		}
+		linkCtx, cancel := context.WithCancel(ctx)
+		links[s] = cancel
+		running.Go(func() { n.linkRelay(linkCtx, s) })
+	}
+	for s, cancel := range links {
+		if !listed[s] {
+			cancel()
+			delete(links, s)
+		}
+	}
+}
+
+// linkRelay keeps a link to another relay until ctx ends.
+func (n *Node) linkRelay(ctx context.Context, s relay.Seat) {
+	rnd := n.random(5)
+	for ctx.Err() == nil {
+		if conn, err := n.endpoint.Dial(ctx, s.Address); err == nil {
+			n.peerWithRelay(ctx, conn)
+		}
+		sleep(ctx, firstPause+time.Duration(rnd.Int64N(int64(maxPause))))
+	}
+}
+
+func (n *Node) peerWithRelay(ctx context.Context, conn *link.Conn) {
+	l := newPeerLink(conn.Peer(), conn)
+	stop := context.AfterFunc(ctx, l.close)
+	defer stop()
+	n.post(func(c *control) {
+		if c.hub == nil {
+			l.close()
+			return
+		}
+		c.peers[l.name] = l
+		l.send(c.hub.RelayHello(n.incarnation))
+	})
+	l.read(func(m relay.Message) {
+		n.post(func(c *control) { c.fromPeer(l, m) })
+	})
+	n.post(func(c *control) {
+		if c.peers[l.name] == l {
+			delete(c.peers, l.name)
+		}
+	})
+}
+
+// fromPeer takes a message from another relay.
+func (c *control) fromPeer(l *peerLink, m relay.Message) {
+	if c.hub == nil || c.peers[l.name] != l {
+		return
+	}
+	if s, ok := m.(*relay.Seats); ok && s.Redirect {
+		l.close()
+		return
+	}
+	answers, sends := c.hub.FromRelay(c.now(), l.name, m)
+	for _, a := range answers {
+		l.send(a)
+	}
+	c.deliver(sends)
+}
+
+// runEndpoint serves the links that others open.
+func (n *Node) runEndpoint(ctx context.Context) error {
+	return n.endpoint.Serve(ctx, n.serveLink)
+}
+
+// serveLink serves a link from its hello to its end. A node that is no relay
+// names the relays that it knows and hangs up.
+func (n *Node) serveLink(conn *link.Conn) {
+	l := newPeerLink(conn.Peer(), conn)
+	var hello *relay.Hello
+	l.read(func(m relay.Message) {
+		if hello == nil {
+			h, ok := m.(*relay.Hello)
+			if !ok || h.Node != l.name {
+				n.log.Warn("link refused: its hello does not match its certificate", "peer", l.name)
+				l.close()
+				return
+			}
+			hello = h
+			n.post(func(c *control) { c.join(l, h) })
+			return
+		}
+		n.post(func(c *control) {
+			if c.hub != nil && c.links[l.name] == l {
+				c.fromNode(l.name, m)
+			}
+		})
+	})
+	n.post(func(c *control) { c.part(l) })
+}
+
+func (c *control) join(l *peerLink, hello *relay.Hello) {
+	if c.hub == nil {
+		l.send(&relay.Seats{Seats: c.seats, Redirect: true})
+		return
+	}
+	if old, ok := c.links[l.name]; ok {
+		old.close()
+	}
+	c.links[l.name] = l
+	c.deliver(c.hub.Join(c.now(), hello))
+}
+
+func (c *control) part(l *peerLink) {
+	if c.hub == nil || c.links[l.name] != l {
+		return
+	}
+	delete(c.links, l.name)
+	c.hub.Leave(c.now(), l.name)
+}
+
+// allot hands out shares of the limits of the asking node's service.
+func (c *control) allot(from string, a *relay.Asks) {
+	policy := c.follower.Policy()
+	if policy == nil {
+		return
+	}
+	limits := limitsOf(policy.Services[a.Service])
+	n := c.n
+	go func() {
+		shares, err := n.settleAsks(from, a, limits)
+		if err != nil {
+			n.log.Warn("shares not handed out", "service", a.Service, "node", from, "error", err)
+			return
+		}
+		n.log.Info("shares handed out", "service", a.Service, "node", from, "shares", fmt.Sprint(shares))
+		n.post(func(c *control) {
+			if c.hub != nil {
+				c.deliver([]relay.Send{{To: from, Message: &relay.Shares{Shares: shares, Serial: a.Serial}}})
+			}
+		})
+	}()
+}
+
+// settleAsks writes the pool before the shares are handed out. After a lost
+// answer nothing is handed out: the pool then counts more than the node holds,
+// which is safe, and the node asks again.
+func (n *Node) settleAsks(from string, a *relay.Asks, limits map[limit.Key]int64) ([]limit.Share, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), allotTimeout)
+	defer cancel()
+	key := poolPrefix + a.Service
+	var err error
+	for range allotTries {
+		var o gd.Object
+		if o, err = n.cfg.Store.Get(ctx, key); err != nil && !gd.NotFound.Is(err) {
+			return nil, err
+		}
+		var pool limit.Pool
+		if o.Revision > 0 {
+			if pool, err = limit.Decode(o.Value); err != nil {
+				return nil, err
+			}
+		}
+		next, shares := settlePool(pool, n, from, a, limits)
+		var data []byte
+		if data, err = next.Encode(); err != nil {
+			return nil, err
+		}
+		if _, err = n.cfg.Store.Put(ctx, key, data, o.Revision); !gd.Conflict.Is(err) {
+			return shares, err
+		}
+	}
+	return nil, err
+}
+
+func settlePool(p limit.Pool, n *Node, from string, a *relay.Asks, limits map[limit.Key]int64) (limit.Pool, []limit.Share) {
+	if a.Release {
+		return p.WithRelease(from), nil
+	}
+	asker := limit.Asker{Node: from, Incarnation: a.Incarnation, Serial: a.Serial}
+	return p.WithAsks(n.cfg.Clock.Now(), asker, a.Asks, limits)
+}
+
+// limitsOf returns the fleet-wide limits of a service's rows.
+func limitsOf(s *table.Service) map[limit.Key]int64 {
+	limits := map[limit.Key]int64{}
+	if s == nil {
+		return limits
+	}
+	for caller, row := range s.Rows {
+		if row.RateLimit > 0 {
+			limits[limit.Key{Caller: caller, Dimension: limit.Rate}] = int64(row.RateLimit) * limit.RateUnits
+		}
+		if row.ConcurrencyLimit > 0 {
+			limits[limit.Key{Caller: caller, Dimension: limit.Concurrency}] = int64(row.ConcurrencyLimit)
+		}
+	}
+	return limits
+}
--- /dev/null
+++ b/node/station.go
@@ -0,0 +1,564 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/claim"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/limit"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/queue"
+	"github.com/geraniumdock/geraniumdock/server"
+	"github.com/geraniumdock/geraniumdock/table"
+)
+
+// Terms of a station.
+const (
+	announceTerm    = 5 * time.Second // a server that does not repeat its announcement in time is gone
+	stationTick     = 50 * time.Millisecond
+	dialTimeout     = time.Second
+	oldServer       = 2 * time.Second // a server this much older than the node may still run earlier calls
+	startSlotsShare = 3               // the node starts with 1/3 of such a server's slots
+)
+
+// station runs calls on the backend server beside the node. It alone talks to
+// that server and owns its slots.
+type station struct {
+	n       *Node
+	client  *http.Transport
+	claims  *claim.Writer
+	replays *replays
+	calls   sync.WaitGroup
+
+	mu        sync.Mutex
+	queue     *queue.Fair
+	meter     limit.Meter
+	policy    *table.Policy
+	announced announcement
+	heard     time.Duration
+	leaving   bool
+	lastID    uint64
+	waiting   map[uint64]chan error // a nil error gives the slot
+	running   map[uint64]quarantine.Fingerprint
+	alone     map[uint64]bool
+	cleared   map[quarantine.Fingerprint]clock.Time // suspects that ran alone without a crash
+	crashes   uint64
+}
+
+// announcement is what the backend server says of itself.
+type announcement struct {
+	Service     string
+	Address     string
+	Slots       int
+	Connections int
+	Started     clock.Time
+	Draining    bool
+	Unhealthy   bool
+}
+
+func newStation(n *Node) *station {
+	return &station{
+		n:       n,
+		client:  newServerTransport(defaultConnections),
+		claims:  claim.NewWriter(n.cfg.Store, n.cfg.Clock, claim.Holder{Node: n.name, Incarnation: n.incarnation}),
+		replays: newReplays(),
+		queue:   queue.New(1),
+		waiting: map[uint64]chan error{},
+		running: map[uint64]quarantine.Fingerprint{},
+		alone:   map[uint64]bool{},
+		cleared: map[quarantine.Fingerprint]clock.Time{},
+	}
+}
+
+const defaultConnections = 100
+
+// newServerTransport returns the client that talks to the backend server.
+func newServerTransport(connections int) *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:           d.DialContext,
+		MaxConnsPerHost:       connections,
+		MaxIdleConnsPerHost:   connections,
+		DisableCompression:    true,
+		ExpectContinueTimeout: 0,
+	}
+}
+
+func (s *station) now() time.Duration { return s.n.cfg.Clock.Monotonic() }
+
+// announce takes an announcement of the backend server.
+func (s *station) announce(a announcement) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.announced.Service != "" && s.fresh() && (a.Address != s.announced.Address || a.Service != s.announced.Service) {
+		return gd.Conflict.Errorf("server %s of service %s announces itself here already", s.announced.Address, s.announced.Service)
+	}
+	if a.Started != s.announced.Started || a.Address != s.announced.Address {
+		s.reset(a)
+	}
+	s.announced = a
+	s.heard = s.now()
+	return nil
+}
+
+// reset prepares for a server process that was not known before. One that is
+// older than this node may still run calls of an earlier node, so it starts
+// with few slots.
+func (s *station) reset(a announcement) {
+	slots := a.Slots
+	if a.Started.Add(oldServer) < clock.Time(s.n.incarnation) {
+		slots = max(1, a.Slots/startSlotsShare)
+	}
+	s.queue.SetSlots(slots)
+	if a.Connections != s.announced.Connections && a.Connections > 0 {
+		s.client = newServerTransport(a.Connections)
+	}
+}
+
+// fresh reports whether the server's announcement stands. The caller holds
+// s.mu.
+func (s *station) fresh() bool {
+	return s.announced.Service != "" && s.now()-s.heard < announceTerm
+}
+
+// record returns the server's record in the given state, or in the one that it
+// announced if state is Up.
+func (s *station) record(state server.State) server.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.announced
+	if state == server.Up {
+		state = s.state()
+	}
+	return server.Record{
+		Service:   a.Service,
+		Region:    s.n.cfg.Region,
+		Address:   s.n.PeersAddress(),
+		Slots:     a.Slots,
+		Started:   a.Started,
+		State:     state,
+		Unhealthy: a.Unhealthy,
+	}
+}
+
+func (s *station) state() server.State {
+	switch {
+	case !s.fresh():
+		return server.Gone
+	case s.leaving || s.announced.Draining:
+		return server.Draining
+	}
+	return server.Up
+}
+
+// announceState has the control goroutine pass on what changed.
+func (s *station) announceState(c *control) {
+	if r := s.record(server.Up); r.Service != "" {
+		c.announce(r)
+	}
+}
+
+// run expires waiting calls and announcements until ctx ends.
+func (s *station) run(ctx context.Context) error {
+	tick := time.NewTicker(stationTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.expire()
+			s.n.post(s.announceState)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// expire refuses the calls whose deadline passed while they waited.
+func (s *station) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, it := range s.queue.Expire(s.now()) {
+		s.refuse(it, gd.Hopeless.Errorf("the deadline passed while the call waited"))
+	}
+}
+
+// refuse answers a waiting call. The caller holds s.mu.
+func (s *station) refuse(it queue.Item, err error) {
+	if c, ok := s.waiting[it.ID]; ok {
+		delete(s.waiting, it.ID)
+		c <- err
+	}
+}
+
+// adopt takes over a policy.
+func (s *station) adopt(p *table.Policy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.policy = p
+	if p != nil {
+		s.meter.SetLimits(limitsOf(p.Services[s.announced.Service]))
+	}
+}
+
+func (s *station) asks() (string, []limit.Ask) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.policy == nil || !s.fresh() {
+		return "", nil
+	}
+	s.meter.SetLimits(limitsOf(s.policy.Services[s.announced.Service]))
+	return s.announced.Service, s.meter.Asks(s.now())
+}
+
+func (s *station) askAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meter.AskAgain()
+}
+
+func (s *station) grant(shares []limit.Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, share := range shares {
+		s.meter.Grant(s.now(), share)
+	}
+}
+
+// drain refuses calls from now on; those that run go on.
+func (s *station) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+func (s *station) close() {
+	s.claims.Close()
+	s.client.CloseIdleConnections()
+}
+
+// do runs the call on the backend server. An error other than of kind Unknown,
+// TimedOut or Duplicate means that the server never saw it. The caller closes
+// the answer's body, which frees the slot.
+func (s *station) do(ctx context.Context, c *call) (*http.Response, error) {
+	s.calls.Add(1)
+	row, err := s.admit(c)
+	if err != nil {
+		s.calls.Done()
+		return nil, err
+	}
+	if row.Deduplication == table.DedupPlatform && c.key != "" {
+		res, err := s.doOnce(ctx, c, row)
+		s.calls.Done()
+		return res, err
+	}
+	res, err := s.doAdmitted(ctx, c, row, nil)
+	if err != nil {
+		s.leave(c)
+		return nil, err
+	}
+	res.Body = &tracked{ReadCloser: res.Body, done: func() { s.leave(c) }}
+	return res, nil
+}
+
+func (s *station) leave(c *call) {
+	s.mu.Lock()
+	s.meter.Leave(c.caller)
+	s.mu.Unlock()
+	s.calls.Done()
+}
+
+// admit checks the call against the table and the caller's shares.
+func (s *station) admit(c *call) (*table.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.announced.Draining {
+		return nil, gd.Draining.Errorf("server of node %s is draining", s.n.name)
+	}
+	if !s.fresh() || s.announced.Service != c.service {
+		return nil, gd.Draining.Errorf("no server of service %s is beside node %s", c.service, s.n.name)
+	}
+	if s.policy == nil {
+		return nil, gd.NotReady.Errorf("node %s has not learned the current table yet", s.n.name)
+	}
+	row, err := rowOf(s.policy, c.service, c.caller)
+	if err != nil {
+		return nil, err
+	}
+	return row, s.meter.Enter(s.now(), c.caller)
+}
+
+func rowOf(p *table.Policy, service, caller string) (*table.Row, error) {
+	svc, ok := p.Services[service]
+	if !ok {
+		return nil, gd.NoRoute.Errorf("no service %s in table version %d", service, p.Version)
+	}
+	row, ok := svc.Rows[caller]
+	if !ok {
+		return nil, gd.Forbidden.Errorf("the table has no row for caller %s and service %s", caller, service)
+	}
+	return row, nil
+}
+
+// doAdmitted waits for a slot and runs the call. The claim, if any, is made
+// while the call waits.
+func (s *station) doAdmitted(ctx context.Context, c *call, row *table.Row, claimed <-chan error) (*http.Response, error) {
+	id, granted, err := s.submit(c, row)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.awaitSlot(ctx, c, id, granted); err != nil {
+		return nil, err
+	}
+	if err := awaitClaim(ctx, claimed); err != nil {
+		s.free(id)
+		return nil, err
+	}
+	return s.exchange(ctx, c, id)
+}
+
+func awaitClaim(ctx context.Context, claimed <-chan error) error {
+	if claimed == nil {
+		return nil
+	}
+	select {
+	case err := <-claimed:
+		return err
+	case <-ctx.Done():
+		return gd.ClaimsDown.Errorf("the claim was not confirmed before the deadline")
+	}
+}
+
+// submit queues the call.
+func (s *station) submit(c *call, row *table.Row) (uint64, <-chan error, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	verdict := s.verdict(c.fingerprint)
+	if verdict == quarantine.Refused {
+		return 0, nil, gd.Quarantined.Errorf("requests like this one crashed two servers")
+	}
+	s.lastID++
+	id := s.lastID
+	it := queue.Item{
+		ID:       id,
+		Caller:   c.caller,
+		Weight:   row.Weight,
+		Limit:    row.QueueLimit,
+		Deadline: c.deadline,
+		Alone:    verdict == quarantine.Suspect,
+	}
+	if err := s.queue.Submit(s.now(), it); err != nil {
+		return 0, nil, err
+	}
+	granted := make(chan error, 1)
+	s.waiting[id] = granted
+	s.running[id] = c.fingerprint
+	s.alone[id] = it.Alone
+	s.start()
+	return id, granted, nil
+}
+
+// verdict returns how the fingerprint is treated here. The caller holds s.mu.
+func (s *station) verdict(fp quarantine.Fingerprint) quarantine.Verdict {
+	v := s.n.snapshot.Load().register.Verdict(s.n.cfg.Clock.Now(), fp)
+	if at, ok := s.cleared[fp]; ok && v == quarantine.Suspect && at.Add(quarantine.Term) > s.n.cfg.Clock.Now() {
+		return quarantine.Clear
+	}
+	return v
+}
+
+// start hands out free slots. The caller holds s.mu.
+func (s *station) start() {
+	for _, it := range s.queue.Start(s.now()) {
+		if c, ok := s.waiting[it.ID]; ok {
+			delete(s.waiting, it.ID)
+			c <- nil
+		}
+	}
+}
+
+// awaitSlot waits until the call has a slot. A call whose caller went away
+// leaves the queue.
+func (s *station) awaitSlot(ctx context.Context, c *call, id uint64, granted <-chan error) error {
+	select {
+	case err := <-granted:
+		if err != nil {
+			s.forget(id)
+		}
+		return err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	waited := s.queue.Cancel(c.caller, id)
+	delete(s.waiting, id)
+	s.mu.Unlock()
+	if !waited {
+		s.free(id)
+	}
+	s.forget(id)
+	return gd.Hopeless.Errorf("the call was given up while it waited")
+}
+
+func (s *station) forget(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, id)
+	delete(s.alone, id)
+}
+
+// free gives the call's slot to the next.
+func (s *station) free(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Done(s.now(), id)
+	delete(s.running, id)
+	delete(s.alone, id)
+	s.start()
+}
+
+// exchange sends the call to the server and returns its answer.
+func (s *station) exchange(ctx context.Context, c *call, id uint64) (*http.Response, error) {
+	s.mu.Lock()
+	address, client := s.announced.Address, s.client
+	s.mu.Unlock()
+	req := s.outgoing(ctx, c, address)
+	res, err := client.RoundTrip(req)
+	if err != nil {
+		return nil, s.failed(ctx, c, id, err)
+	}
+	stripHeaders(res.Header)
+	res.Header.Set(loadHeader, formatLoad(s.load()))
+	res.Body = &tracked{ReadCloser: res.Body, broken: func() { s.checkCrash(id) }, done: func() { s.succeeded(id, c.fingerprint) }}
+	return res, nil
+}
+
+func (s *station) outgoing(ctx context.Context, c *call, address string) *http.Request {
+	req := c.request.Clone(ctx)
+	stripHeaders(req.Header)
+	req.Header.Set(callerHeader, c.caller)
+	req.Header.Set(timeoutHeader, formatMS(c.remaining(s.now())))
+	req.URL.Scheme = "http"
+	req.URL.Host = address
+	req.RequestURI = ""
+	c.body.setBody(req)
+	if c.key != "" && req.Header.Get(keyHeader) == "" {
+		hideKey(req.Header)
+	}
+	return req
+}
+
+// failed settles a call that the server did not answer. A connection that was
+// never made carried nothing.
+func (s *station) failed(ctx context.Context, c *call, id uint64, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" && !c.body.taken.Load() {
+		s.free(id)
+		return gd.Draining.Errorf("the server beside node %s does not take connections", s.n.name)
+	}
+	s.checkCrash(id)
+	s.free(id)
+	if ctx.Err() != nil {
+		return gd.TimedOut.Errorf("the call ended before the server answered")
+	}
+	return gd.Unknown.Errorf("the server's connection failed before it answered")
+}
+
+// checkCrash finds out whether the server died while call id ran on it, and
+// reports what was in flight.
+func (s *station) checkCrash(id uint64) {
+	s.mu.Lock()
+	address := s.announced.Address
+	s.mu.Unlock()
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err == nil {
+		conn.Close()
+		return
+	}
+	s.mu.Lock()
+	if _, ok := s.running[id]; !ok {
+		s.mu.Unlock()
+		return
+	}
+	reports := s.crashReports()
+	s.heard = s.now() - announceTerm // gone until it announces itself again
+	s.mu.Unlock()
+	s.n.log.Warn("backend server crashed", "in-flight", len(reports))
+	s.n.post(func(c *control) {
+		c.report(reports)
+		s.announceState(c)
+	})
+}
+
+// crashReports returns a report for each call that ran. The caller holds s.mu.
+func (s *station) crashReports() []quarantine.Report {
+	now := s.n.cfg.Clock.Now()
+	s.crashes++
+	var fps []quarantine.Fingerprint
+	for id, fp := range s.running {
+		if _, waits := s.waiting[id]; !waits {
+			fps = append(fps, fp)
+		}
+	}
+	slices.Sort(fps)
+	fps = slices.Compact(fps)
+	reports := make([]quarantine.Report, len(fps))
+	for i, fp := range fps {
+		reports[i] = quarantine.Report{
+			Fingerprint: fp,
+			Node:        s.n.name,
+			Incarnation: s.n.incarnation + s.crashes,
+			At:          now,
+			Alone:       len(fps) == 1,
+		}
+	}
+	return reports
+}
+
+// succeeded frees the slot of a call that the server answered to the end.
+func (s *station) succeeded(id uint64, fp quarantine.Fingerprint) {
+	s.mu.Lock()
+	if s.alone[id] && s.fresh() {
+		s.cleared[fp] = s.n.cfg.Clock.Now()
+	}
+	if slots := s.queue.Slots(); slots < s.announced.Slots {
+		s.queue.SetSlots(slots + 1)
+	}
+	s.mu.Unlock()
+	s.free(id)
+}
+
+func (s *station) load() server.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return server.Load{Queued: s.queue.Waiting(), Running: s.queue.Running(), Service: s.queue.Mean()}
+}
+
+// tracked calls done once when the body is closed, and before it broken if the
+// body broke off.
+type tracked struct {
+	io.ReadCloser
+	broken func()
+	done   func()
+	once   sync.Once
+}
+
+func (t *tracked) Read(p []byte) (int, error) {
+	n, err := t.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, context.Canceled) && t.broken != nil {
+		t.broken()
+	}
+	return n, err
+}
+
+func (t *tracked) Close() error {
+	err := t.ReadCloser.Close()
+	t.once.Do(t.done)
+	return err
+}
--- /dev/null
+++ b/node/uplink.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumdock/geraniumdock/link"
+	"github.com/geraniumdock/geraniumdock/relay"
+)
+
+// Pauses between attempts to reach a relay.
+const (
+	firstPause  = 200 * time.Millisecond
+	maxPause    = 3 * time.Second
+	steadyAfter = 5 * time.Second // a link that lasted this long resets the pause
+	linkBuffer  = 256
+	flushWait   = 500 * time.Millisecond
+	rolePoll    = 250 * time.Millisecond
+)
+
+// peerLink is a link with a writer of its own, so that a slow peer holds up
+// nobody. A peer that does not keep up loses the link.
+type peerLink struct {
+	name string
+	conn *link.Conn
+	out  chan []byte
+	idle chan chan struct{}
+	done chan struct{}
+}
+
+func newPeerLink(name string, conn *link.Conn) *peerLink {
+	l := &peerLink{
+		name: name,
+		conn: conn,
+		out:  make(chan []byte, linkBuffer),
+		idle: make(chan chan struct{}, 1),
+		done: make(chan struct{}),
+	}
+	go l.write()
+	return l
+}
+
+// write sends until the link fails or is closed.
+func (l *peerLink) write() {
+	defer l.conn.Close()
+	for {
+		select {
+		case data := <-l.out:
+			if err := l.conn.Send(data); err != nil {
+				return
+			}
+		case flushed := <-l.idle:
+			l.writeRest()
+			close(flushed)
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (l *peerLink) writeRest() {
+	for {
+		select {
+		case data := <-l.out:
+			if err := l.conn.Send(data); err != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (l *peerLink) send(m relay.Message) { l.sendShared(m, nil) }
+
+// sendShared sends m, encoding it once for all links that get it.
+func (l *peerLink) sendShared(m relay.Message, encoded map[relay.Message][]byte) {
+	data, ok := encoded[m]
+	if !ok {
+		var err error
+		if data, err = relay.Encode(m); err != nil {
+			return
+		}
+		if encoded != nil {
+			encoded[m] = data
+		}
+	}
+	select {
+	case l.out <- data:
+	default:
+		l.close()
+	}
+}
+
+// flush waits a little until what was sent is on its way.
+func (l *peerLink) flush() {
+	flushed := make(chan struct{})
+	select {
+	case l.idle <- flushed:
+	default:
+		return
+	}
+	t := time.NewTimer(flushWait)
+	defer t.Stop()
+	select {
+	case <-flushed:
+	case <-t.C:
+	}
+}
+
+// close ends the link; its reader notices.
+func (l *peerLink) close() { l.conn.Close() }
+
+// read passes on messages until the link ends.
+func (l *peerLink) read(handle func(relay.Message)) {
+	defer close(l.done)
+	defer l.conn.Close()
+	for {
+		data, err := l.conn.Receive()
+		if err != nil {
+			return
+		}
+		m, err := relay.Decode(data)
+		if err != nil {
+			return
+		}
+		handle(m)
+	}
+}
+
+// runUplink keeps the node linked to a relay.
+func (n *Node) runUplink(ctx context.Context) error {
+	rnd := n.random(2)
+	pause := firstPause
+	for ctx.Err() == nil {
+		began := n.cfg.Clock.Monotonic()
+		n.followOnce(ctx)
+		if n.cfg.Clock.Monotonic()-began > steadyAfter {
+			pause = firstPause
+		}
+		// Jitter spreads the nodes of a relay that died over time.
+		sleep(ctx, pause/2+time.Duration(rnd.Int64N(int64(pause))))
+		pause = min(2*pause, maxPause)
+	}
+	return ctx.Err()
+}
+
+// followOnce follows the first relay that can be reached until the link ends.
+func (n *Node) followOnce(ctx context.Context) {
+	if leads, ok := query(ctx, n, func(c *control) bool { return c.hub != nil }); !ok || leads {
+		n.waitWhileRelay(ctx)
+		return
+	}
+	seats, _ := query(ctx, n, (*control).relaysToTry)
+	for _, s := range seats {
+		if ctx.Err() != nil || n.followRelay(ctx, s) {
+			return
+		}
+	}
+	n.discover(ctx)
+}
+
+func (n *Node) waitWhileRelay(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, rolePoll)
+		if leads, ok := query(ctx, n, func(c *control) bool { return c.hub != nil }); !ok || !leads {
+			return
+		}
+	}
+}
+
+// relaysToTry returns the relays of the own data centre in random order, then
+// the others, then the seeds.
+func (c *control) relaysToTry() []relay.Seat {
+	var here, away []relay.Seat
+	for _, s := range c.seats {
+		switch {
+		case s.Node == c.n.name:
+		case s.DataCentre == c.n.cfg.DataCentre:
+			here = append(here, s)
+		default:
+			away = append(away, s)
+		}
+	}
+	for _, seats := range [][]relay.Seat{here, away} {
+		c.rnd.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
+	}
+	for _, address := range c.n.cfg.Seeds {
+		away = append(away, relay.Seat{Address: address})
+	}
+	return append(here, away...)
+}
+
+// followRelay links to the relay and follows it until the link ends. It
+// reports whether the link came about.
+func (n *Node) followRelay(ctx context.Context, s relay.Seat) bool {
+	conn, err := n.endpoint.Dial(ctx, s.Address)
+	if err != nil {
+		n.log.Debug("relay not reached", "relay", s.Node, "address", s.Address, "error", err)
+		return false
+	}
+	l := newPeerLink(conn.Peer(), conn)
+	n.log.Info("relay chosen", "relay", l.name, "data-centre", s.DataCentre, "address", s.Address)
+	n.post(func(c *control) { c.linkUp(l, s) })
+	l.read(func(m relay.Message) {
+		n.post(func(c *control) { c.fromUplink(l, m) })
+	})
+	n.post(func(c *control) { c.linkDown(l) })
+	return true
+}
+
+func (c *control) linkUp(l *peerLink, s relay.Seat) {
+	if c.hub != nil {
+		l.close()
+		return
+	}
+	c.up, c.upSeat = l, s
+	l.send(c.follower.Hello())
+}
+
+func (c *control) linkDown(l *peerLink) {
+	if c.up != l {
+		return
+	}
+	c.n.log.Info("link to relay lost", "relay", l.name)
+	c.up = nil
+	c.seats = withoutNode(c.seats, l.name)
+}
+
+func withoutNode(seats []relay.Seat, node string) []relay.Seat {
+	var kept []relay.Seat
+	for _, s := range seats {
+		if s.Node != node {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// discover reads the relays from the platform and stands for a vacant seat of
+// the own data centre.
+func (n *Node) discover(ctx context.Context) {
+	seats, err := n.listSeats(ctx)
+	if err != nil {
+		n.log.Warn("no relay reached and the platform does not answer", "error", err)
+		return
+	}
+	n.post(func(c *control) {
+		c.seats = seats
+		if i, ok := vacantSeat(seats, n.cfg.DataCentre); ok {
+			c.stand(i)
+		}
+	})
+}
+
+func vacantSeat(seats []relay.Seat, dataCentre string) (int, bool) {
+	taken := map[int]bool{}
+	for _, s := range seats {
+		if s.DataCentre == dataCentre {
+			taken[s.Index] = true
+		}
+	}
+	for i := range relay.SeatsPerDC {
+		if !taken[i] {
+			return i, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,135 @@
+// Package quarantine finds requests that crash the backend servers that run
+// them. A request in flight at the crash of one server is a suspect and runs
+// alone from then on; one in flight at the crashes of two is refused for a
+// term on every node.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+// Term is how long a report counts.
+const Term = 10 * time.Minute
+
+const (
+	crashesToRefuse = 2
+	maxReports      = 4096
+)
+
+// Fingerprint identifies requests that are repeats of each other.
+type Fingerprint uint64
+
+// Of returns the fingerprint of a request: its caller, method, target and the
+// first bytes of its body.
+func Of(caller, method, target string, body []byte) Fingerprint {
+	h := xxhash.New()
+	for _, s := range []string{caller, method, target} {
+		h.WriteString(s)
+		h.Write([]byte{0})
+	}
+	h.Write(body)
+	return Fingerprint(h.Sum64())
+}
+
+// Report says that requests with the fingerprint were in flight when the
+// server beside Node crashed.
+type Report struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Node        string      `cbor:"2,keyasint"`
+	Incarnation uint64      `cbor:"3,keyasint"` // counts the crashes of one server
+	At          clock.Time  `cbor:"4,keyasint"`
+	Alone       bool        `cbor:"5,keyasint,omitempty"` // nothing else ran
+}
+
+type key struct {
+	fingerprint Fingerprint
+	node        string
+	incarnation uint64
+}
+
+// Verdict says how to treat a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Clear   Verdict = iota
+	Suspect         // runs alone
+	Refused
+)
+
+// String returns the name of v.
+func (v Verdict) String() string { return [...]string{"clear", "suspect", "refused"}[v] }
+
+// Register is an immutable set of reports. The zero value is empty.
+type Register struct {
+	reports map[key]Report
+}
+
+// WithReports returns the register with the reports merged in and those that
+// were new. Merging is commutative and idempotent.
+func (g Register) WithReports(reports ...Report) (Register, []Report) {
+	var added []Report
+	merged := g.reports
+	for _, r := range reports {
+		k := key{r.Fingerprint, r.Node, r.Incarnation}
+		if _, ok := merged[k]; ok || len(merged) >= maxReports {
+			continue
+		}
+		if added == nil {
+			merged = maps.Clone(g.reports)
+		}
+		if merged == nil {
+			merged = map[key]Report{}
+		}
+		merged[k] = r
+		added = append(added, r)
+	}
+	return Register{merged}, added
+}
+
+// WithoutExpired returns the register without the reports older than Term.
+func (g Register) WithoutExpired(now clock.Time) Register {
+	kept := maps.Clone(g.reports)
+	maps.DeleteFunc(kept, func(_ key, r Report) bool { return r.At.Add(Term) <= now })
+	return Register{kept}
+}
+
+// Verdict returns how requests with fingerprint fp are treated at now.
+func (g Register) Verdict(now clock.Time, fp Fingerprint) Verdict {
+	if len(g.reports) == 0 {
+		return Clear
+	}
+	crashes, alone := 0, 0
+	for k, r := range g.reports {
+		if k.fingerprint != fp || r.At.Add(Term) <= now {
+			continue
+		}
+		crashes++
+		if r.Alone {
+			alone++
+		}
+	}
+	switch {
+	case crashes >= crashesToRefuse && alone > 0:
+		return Refused
+	case crashes > 0:
+		return Suspect
+	}
+	return Clear
+}
+
+// Reports returns all reports, ordered.
+func (g Register) Reports() []Report {
+	list := slices.Collect(maps.Values(g.reports))
+	slices.SortFunc(list, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,265 @@
+// Package queue orders the calls that wait for the slots of one backend
+// server. Callers share the slots in proportion to their weights, charged in
+// measured slot time and not in calls, so that long calls of one caller do not
+// starve short calls of another.
+package queue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+const (
+	smoothing    = 0.2 // weight of the newest slot time in a flow's mean
+	firstCost    = 5 * time.Millisecond
+	longFactor   = 4 // a flow this many times slower than another leaves a slot free
+	recentWithin = 10 * time.Second
+)
+
+// Item is a call that wants a slot.
+type Item struct {
+	ID       uint64
+	Caller   string
+	Weight   int           // at least 1
+	Limit    int           // how many calls of the caller may wait
+	Deadline time.Duration // on the monotonic clock
+	Alone    bool          // runs only while nothing else does
+}
+
+// Fair is the queue of one server. The owner serialises access and passes
+// readings of the monotonic clock. Use New.
+type Fair struct {
+	slots   int
+	flows   map[string]*flow
+	running map[uint64]run
+	floor   float64 // virtual time of the last flow served
+	alone   bool    // an item that runs alone holds the server
+}
+
+type flow struct {
+	caller  string
+	weight  float64
+	spent   float64 // slot seconds over weight, on the scale of floor
+	mean    time.Duration
+	waiting []Item
+	running int
+	seen    time.Duration
+}
+
+type run struct {
+	item    Item
+	flow    *flow
+	started time.Duration
+	cost    time.Duration // what was charged at the start
+}
+
+// New returns a queue for a server with the given slots, at least 1.
+func New(slots int) *Fair {
+	return &Fair{slots: max(slots, 1), flows: map[string]*flow{}, running: map[uint64]run{}}
+}
+
+// SetSlots changes the number of slots; running calls are not touched.
+func (f *Fair) SetSlots(n int) { f.slots = max(n, 1) }
+
+// Slots returns the number of slots.
+func (f *Fair) Slots() int { return f.slots }
+
+// Running returns the number of slots in use.
+func (f *Fair) Running() int { return len(f.running) }
+
+// Waiting returns the number of calls that wait.
+func (f *Fair) Waiting() int {
+	n := 0
+	for _, fl := range f.flows {
+		n += len(fl.waiting)
+	}
+	return n
+}
+
+// Mean returns the mean slot time over the callers seen.
+func (f *Fair) Mean() time.Duration {
+	if len(f.flows) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, fl := range f.flows {
+		sum += fl.mean
+	}
+	return sum / time.Duration(len(f.flows))
+}
+
+// Submit adds the item to its caller's queue. It refuses the item with an
+// error of kind QueueFull or Hopeless; a refused item never ran. Call Start
+// afterwards.
+func (f *Fair) Submit(now time.Duration, it Item) error {
+	fl := f.flow(now, it)
+	if len(fl.waiting) >= it.Limit {
+		return gd.QueueFull.Errorf("%d calls of caller %s wait, the limit is %d", len(fl.waiting), it.Caller, it.Limit)
+	}
+	if wait := f.expectedWait(fl); it.Deadline-now < wait+fl.mean {
+		return gd.Hopeless.Errorf("expected wait of %s is beyond the deadline in %s", wait, it.Deadline-now)
+	}
+	fl.waiting = append(fl.waiting, it)
+	return nil
+}
+
+// flow returns the caller's flow. One that was idle starts level with the
+// flow served last, so that idleness earns no credit.
+func (f *Fair) flow(now time.Duration, it Item) *flow {
+	fl, ok := f.flows[it.Caller]
+	if !ok {
+		fl = &flow{caller: it.Caller, mean: firstCost}
+		f.flows[it.Caller] = fl
+	}
+	if len(fl.waiting) == 0 && fl.running == 0 {
+		fl.spent = max(fl.spent, f.floor)
+	}
+	fl.weight = float64(max(it.Weight, 1))
+	fl.seen = now
+	return fl
+}
+
+// expectedWait estimates the wait of the next item of fl: its own backlog at
+// its share of the slots, or the whole backlog at all slots if that is less.
+func (f *Fair) expectedWait(fl *flow) time.Duration {
+	if len(f.running) < f.slots && f.Waiting() == 0 {
+		return 0
+	}
+	weights, all := 0.0, time.Duration(0)
+	for _, other := range f.flows {
+		if len(other.waiting) > 0 || other.running > 0 || other == fl {
+			weights += other.weight
+		}
+		all += time.Duration(len(other.waiting)) * other.mean
+	}
+	own := time.Duration(len(fl.waiting)) * fl.mean
+	share := fl.weight / weights
+	return min(time.Duration(float64(own)/(share*float64(f.slots))), all/time.Duration(f.slots))
+}
+
+// Start gives free slots to waiting items and returns them in the order of
+// their start.
+func (f *Fair) Start(now time.Duration) []Item {
+	var started []Item
+	for len(f.running) < f.slots && !f.alone {
+		fl := f.pick(now)
+		if fl == nil {
+			break
+		}
+		started = append(started, f.start(now, fl))
+	}
+	return started
+}
+
+// pick returns the eligible flow that has spent least, or nil.
+func (f *Fair) pick(now time.Duration) *flow {
+	var best *flow
+	least := 0.0
+	for _, fl := range f.flows {
+		if len(fl.waiting) == 0 || !f.eligible(now, fl) {
+			continue
+		}
+		spent := f.spent(now, fl)
+		if best == nil || cmp.Or(cmp.Compare(spent, least), cmp.Compare(fl.caller, best.caller)) < 0 {
+			best, least = fl, spent
+		}
+	}
+	return best
+}
+
+func (f *Fair) eligible(now time.Duration, fl *flow) bool {
+	if fl.waiting[0].Alone && len(f.running) > 0 {
+		return false
+	}
+	return fl.running < f.slots-1 || !f.mustLeaveSlot(now, fl)
+}
+
+// mustLeaveSlot reports whether fl has to leave a slot free: a call in a slot
+// cannot be interrupted, so a caller with long calls that held all slots would
+// make a caller with short calls wait for a whole long call.
+func (f *Fair) mustLeaveSlot(now time.Duration, fl *flow) bool {
+	if f.slots < 2 {
+		return false
+	}
+	for _, other := range f.flows {
+		if other != fl && now-other.seen < recentWithin && fl.mean > longFactor*other.mean {
+			return true
+		}
+	}
+	return false
+}
+
+// spent returns the flow's charge including what its running calls took
+// beyond the cost charged at their start.
+func (f *Fair) spent(now time.Duration, fl *flow) float64 {
+	spent := fl.spent
+	if fl.running == 0 {
+		return spent
+	}
+	for _, r := range f.running {
+		if r.flow == fl {
+			spent += max(0, now-r.started-r.cost).Seconds() / fl.weight
+		}
+	}
+	return spent
+}
+
+func (f *Fair) start(now time.Duration, fl *flow) Item {
+	it := fl.waiting[0]
+	fl.waiting = slices.Delete(fl.waiting, 0, 1)
+	f.floor = max(f.floor, fl.spent)
+	fl.running++
+	fl.spent += fl.mean.Seconds() / fl.weight
+	f.running[it.ID] = run{it, fl, now, fl.mean}
+	f.alone = it.Alone
+	return it
+}
+
+// Done frees the slot of the item and charges the time it took. It does
+// nothing for an item that does not run.
+func (f *Fair) Done(now time.Duration, id uint64) {
+	r, ok := f.running[id]
+	if !ok {
+		return
+	}
+	delete(f.running, id)
+	f.alone = f.alone && !r.item.Alone
+	took := now - r.started
+	r.flow.running--
+	r.flow.spent += (took - r.cost).Seconds() / r.flow.weight
+	r.flow.mean += time.Duration(smoothing * float64(took-r.flow.mean))
+}
+
+// Cancel removes a waiting item and reports whether it was waiting: if so, it
+// never ran.
+func (f *Fair) Cancel(caller string, id uint64) bool {
+	fl, ok := f.flows[caller]
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(fl.waiting, func(it Item) bool { return it.ID == id })
+	if i < 0 {
+		return false
+	}
+	fl.waiting = slices.Delete(fl.waiting, i, i+1)
+	return true
+}
+
+// Expire removes and returns the waiting items whose deadline has passed.
+func (f *Fair) Expire(now time.Duration) []Item {
+	var expired []Item
+	for _, fl := range f.flows {
+		fl.waiting = slices.DeleteFunc(fl.waiting, func(it Item) bool {
+			late := it.Deadline <= now
+			if late {
+				expired = append(expired, it)
+			}
+			return late
+		})
+	}
+	slices.SortFunc(expired, func(a, b Item) int { return cmp.Compare(a.ID, b.ID) })
+	return expired
+}
--- /dev/null
+++ b/relay/hub.go
@@ -0,0 +1,591 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+	"github.com/geraniumdock/geraniumdock/table"
+)
+
+// Terms of a hub.
+const (
+	statusWait  = time.Second
+	lostAfter   = 3 * time.Second  // a node without a link is lost after this
+	orphanAfter = 8 * time.Second  // nodes of a silent relay have this long to link elsewhere
+	catchUp     = time.Second      // how long the platform's watch may lag behind another relay
+	inviteEvery = 5 * time.Second  // between invitations to a vacant seat
+	SeatsPerDC  = 2                // relays per data centre
+	forgetAfter = 10 * time.Minute // a server that left is forgotten after this
+)
+
+// Send is a message to a linked node.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Hub is a relay's side of the distribution. The owner serialises access and
+// passes the time.
+type Hub struct {
+	node       string
+	dataCentre string
+	gather     time.Duration
+	rnd        *rand.Rand
+
+	head      table.Head
+	chunks    table.Chunks
+	pushAt    clock.Time // when to push a head that was not pushed yet; 0 for none
+	links     map[string]*link
+	directory server.Directory
+	register  quarantine.Register
+	seats     []Seat
+	absent    map[string]clock.Time // nodes whose link was lost, by when
+	behind    map[string]clock.Time // relays that have a newer version, by since when
+	departed  map[string]clock.Time
+	orphaned  map[string]orphan // relays whose link was lost
+	requests  map[uint64]*request
+	lastID    uint64
+	invited   clock.Time
+}
+
+type link struct {
+	hello   Hello
+	held    map[table.Hash]bool
+	sent    uint64 // newest version pushed
+	version uint64 // version acknowledged
+	refused uint64
+	reason  string
+}
+
+// orphan is a relay that went silent. Servers of its data centre that no other
+// relay vouches for are lost with it.
+type orphan struct {
+	dataCentre string
+	since      clock.Time
+}
+
+// request collects the answers of other relays to a status request.
+type request struct {
+	from    string
+	id      uint64
+	nodes   map[string]Progress
+	waiting map[string]bool
+	until   clock.Time
+}
+
+// NewHub returns the hub of a relay that gathers changes for the given time
+// before it pushes them.
+func NewHub(node, dataCentre string, gather time.Duration, rnd *rand.Rand) *Hub {
+	return &Hub{
+		node:       node,
+		dataCentre: dataCentre,
+		gather:     gather,
+		rnd:        rnd,
+		links:      map[string]*link{},
+		absent:     map[string]clock.Time{},
+		behind:     map[string]clock.Time{},
+		departed:   map[string]clock.Time{},
+		orphaned:   map[string]orphan{},
+		requests:   map[uint64]*request{},
+	}
+}
+
+// Version returns the version that the hub distributes.
+func (h *Hub) Version() uint64 { return h.head.Version }
+
+// Head returns the head that the hub distributes and its chunks.
+func (h *Hub) Head() (table.Head, table.Chunks) { return h.head, h.chunks }
+
+// SetHead gives the hub a version; older ones are ignored. It is pushed when
+// the gathering time has passed.
+func (h *Hub) SetHead(now clock.Time, head table.Head, chunks table.Chunks) {
+	if head.Version <= h.head.Version {
+		return
+	}
+	h.head, h.chunks = head.WithoutHistory(), chunks
+	if h.pushAt == 0 {
+		h.pushAt = now.Add(h.gather)
+	}
+}
+
+// SetSeats replaces the list of relays and tells it to the links if it
+// changed.
+func (h *Hub) SetSeats(seats []Seat) []Send {
+	if slices.Equal(seats, h.seats) {
+		return nil
+	}
+	h.seats = seats
+	return h.broadcast(&Seats{Seats: seats}, "")
+}
+
+// Join takes in a node that opened a link with hello.
+func (h *Hub) Join(now clock.Time, hello *Hello) []Send {
+	l := &link{hello: *hello, held: setOf(hello.Held), version: hello.Version, refused: hello.Refused, reason: hello.Reason}
+	l.hello.Records, l.hello.Held, l.hello.Reports = nil, nil, nil
+	h.links[hello.Node] = l
+	delete(h.absent, hello.Node)
+	delete(h.orphaned, hello.Node)
+	sends := h.merge(now, hello.Node, hello.Relay, hello.Records)
+	sends = append(sends, h.takeReports(hello.Node, hello.Relay, hello.Reports)...)
+	sends = append(sends, h.greet(hello)...)
+	if hello.Relay {
+		return append(sends, Send{hello.Node, &Notice{Version: h.head.Version}})
+	}
+	if h.pushAt == 0 && hello.Version < h.head.Version {
+		sends = append(sends, Send{hello.Node, h.push(l)})
+	}
+	return sends
+}
+
+// greet sends what a new link lacks, apart from the table.
+func (h *Hub) greet(hello *Hello) []Send {
+	sends := []Send{{hello.Node, &Seats{Seats: h.seats}}}
+	if h.directory.Digest() != hello.Digest {
+		sends = append(sends, Send{hello.Node, &Members{Records: h.directory.Records()}})
+	}
+	if reports := h.register.Reports(); len(reports) > 0 {
+		sends = append(sends, Send{hello.Node, &Reports{Reports: reports}})
+	}
+	return sends
+}
+
+func setOf(hashes []table.Hash) map[table.Hash]bool {
+	set := make(map[table.Hash]bool, len(hashes))
+	for _, hash := range hashes {
+		set[hash] = true
+	}
+	return set
+}
+
+// Leave notes that the node's link is gone.
+func (h *Hub) Leave(now clock.Time, node string) {
+	l, ok := h.links[node]
+	if !ok {
+		return
+	}
+	delete(h.links, node)
+	if l.hello.Relay {
+		h.orphaned[node] = orphan{l.hello.DataCentre, now}
+		return
+	}
+	h.absent[node] = now
+}
+
+// Handle takes a message from a linked node.
+func (h *Hub) Handle(now clock.Time, from string, m Message) []Send {
+	l, ok := h.links[from]
+	if !ok {
+		return nil
+	}
+	switch m := m.(type) {
+	case *Ack:
+		h.acknowledge(l, m)
+	case *Want:
+		l.held = setOf(m.Held)
+		return []Send{{from, h.push(l)}}
+	case *Members:
+		return h.merge(now, from, l.hello.Relay, m.Records)
+	case *Reports:
+		return h.takeReports(from, l.hello.Relay, m.Reports)
+	case *StatusRequest:
+		return h.status(now, from, m)
+	case *StatusReply:
+		return h.collectReply(from, m)
+	}
+	return nil
+}
+
+// FromRelay takes a message that came over this relay's own link to another
+// relay. It returns the answers, and messages to nodes linked to this one.
+func (h *Hub) FromRelay(now clock.Time, from string, m Message) ([]Message, []Send) {
+	switch m := m.(type) {
+	case *Notice:
+		h.noticed(now, from, m.Version)
+	case *Push:
+		return nil, h.takePush(now, m)
+	case *Members:
+		return nil, h.merge(now, from, true, m.Records)
+	case *Reports:
+		return nil, h.takeReports(from, true, m.Reports)
+	case *StatusRequest:
+		return []Message{&StatusReply{ID: m.ID, Nodes: h.Progress()}}, nil
+	}
+	return nil, nil
+}
+
+// RelayHello returns the message that opens this relay's link to another one.
+func (h *Hub) RelayHello(incarnation uint64) *Hello {
+	return &Hello{
+		Node:        h.node,
+		DataCentre:  h.dataCentre,
+		Incarnation: incarnation,
+		Relay:       true,
+		Version:     h.head.Version,
+		Digest:      h.directory.Digest(),
+		Records:     h.directory.Records(),
+		Reports:     h.register.Reports(),
+	}
+}
+
+// Want returns the message that asks another relay for its version.
+func (h *Hub) Want() *Want {
+	w := &Want{}
+	for _, r := range h.head.Refs {
+		w.Held = append(w.Held, r.Hash)
+	}
+	return w
+}
+
+// takePush takes a version from another relay if it came whole and valid.
+func (h *Hub) takePush(now clock.Time, p *Push) []Send {
+	chunks := collect(p, h.chunks)
+	if _, err := compile(p.Head, chunks); err == nil {
+		h.SetHead(now, p.Head, chunks)
+	}
+	return nil
+}
+
+// noticed takes the version that another relay has. If this relay's own
+// watch does not deliver it in time, the other relay is asked for it.
+func (h *Hub) noticed(now clock.Time, from string, version uint64) {
+	if version <= h.head.Version {
+		delete(h.behind, from)
+		return
+	}
+	if _, ok := h.behind[from]; !ok {
+		h.behind[from] = now
+	}
+}
+
+// Lagging returns the relays to ask for a newer version.
+func (h *Hub) Lagging(now clock.Time) []string {
+	var relays []string
+	for from, since := range h.behind {
+		if now.Sub(since) >= catchUp {
+			relays = append(relays, from)
+			h.behind[from] = now
+		}
+	}
+	slices.Sort(relays)
+	return relays
+}
+
+func (h *Hub) acknowledge(l *link, m *Ack) {
+	l.version = max(l.version, m.Version)
+	l.refused, l.reason = m.Refused, m.Reason
+	if m.Version != h.head.Version {
+		return
+	}
+	l.held = map[table.Hash]bool{}
+	for _, r := range h.head.Refs {
+		l.held[r.Hash] = true
+	}
+}
+
+// push returns the current head with the chunks that the link lacks.
+func (h *Hub) push(l *link) *Push {
+	p := &Push{Head: h.head}
+	for _, r := range h.head.Refs {
+		if !l.held[r.Hash] {
+			p.Chunks = append(p.Chunks, h.chunks[r.Hash])
+		}
+	}
+	l.sent = h.head.Version
+	return p
+}
+
+// Tick does what is due at now.
+func (h *Hub) Tick(now clock.Time) []Send {
+	var sends []Send
+	if h.pushAt != 0 && h.pushAt <= now {
+		h.pushAt = 0
+		sends = h.pushAll()
+	}
+	sends = append(sends, h.loseAbsent(now)...)
+	sends = append(sends, h.expireRequests(now)...)
+	sends = append(sends, h.invite(now)...)
+	h.forget(now)
+	return sends
+}
+
+// pushAll pushes the head to every link below it. Links that acknowledged
+// the same version share one message.
+func (h *Hub) pushAll() []Send {
+	var sends []Send
+	shared := map[uint64]*Push{}
+	for _, name := range h.linked() {
+		l := h.links[name]
+		if l.hello.Relay {
+			sends = append(sends, Send{name, &Notice{Version: h.head.Version}})
+			continue
+		}
+		if l.version >= h.head.Version {
+			continue
+		}
+		p, ok := shared[l.version]
+		if !ok {
+			p = h.push(l)
+			shared[l.version] = p
+		}
+		l.sent = h.head.Version
+		sends = append(sends, Send{name, p})
+	}
+	return sends
+}
+
+func (h *Hub) linked() []string { return slices.Sorted(maps.Keys(h.links)) }
+
+// merge takes in records from a link and passes on the newer ones: those of
+// own nodes to everyone, those from other relays to own nodes only.
+func (h *Hub) merge(now clock.Time, from string, relayed bool, records []server.Record) []Send {
+	var sends []Send
+	records = slices.DeleteFunc(slices.Clone(records), func(r server.Record) bool {
+		// A node that is linked here lives: let it refute its loss.
+		_, linked := h.links[r.Node]
+		if refute := r.State == server.Lost && linked && r.Node != from; refute {
+			sends = append(sends, Send{r.Node, &Members{Records: []server.Record{r}}})
+			return true
+		}
+		return false
+	})
+	var newer []server.Record
+	h.directory, newer = h.directory.WithRecords(records...)
+	if len(newer) == 0 {
+		return sends
+	}
+	h.noteDeparted(now, newer)
+	return append(sends, h.pass(from, relayed, &Members{Records: newer})...)
+}
+
+func (h *Hub) noteDeparted(now clock.Time, records []server.Record) {
+	for _, r := range records {
+		delete(h.departed, r.Node)
+		if r.State >= server.Lost {
+			h.departed[r.Node] = now
+		}
+	}
+}
+
+// pass sends news from one link to the others; what came from another relay
+// goes to nodes only, since that relay tells the other relays itself.
+func (h *Hub) pass(from string, relayed bool, m Message) []Send {
+	sends := h.broadcast(m, from)
+	if !relayed {
+		return sends
+	}
+	return slices.DeleteFunc(sends, func(s Send) bool { return h.links[s.To].hello.Relay })
+}
+
+func (h *Hub) broadcast(m Message, except string) []Send {
+	var sends []Send
+	for _, name := range h.linked() {
+		if name != except {
+			sends = append(sends, Send{name, m})
+		}
+	}
+	return sends
+}
+
+func (h *Hub) takeReports(from string, relayed bool, reports []quarantine.Report) []Send {
+	var added []quarantine.Report
+	h.register, added = h.register.WithReports(reports...)
+	if len(added) == 0 {
+		return nil
+	}
+	return h.pass(from, relayed, &Reports{Reports: added})
+}
+
+// loseAbsent marks servers as lost whose node has no link any more.
+func (h *Hub) loseAbsent(now clock.Time) []Send {
+	var nodes []string
+	for node, since := range h.absent {
+		if now.Sub(since) >= lostAfter {
+			delete(h.absent, node)
+			nodes = append(nodes, node)
+		}
+	}
+	for relay, o := range h.orphaned {
+		if now.Sub(o.since) >= orphanAfter {
+			delete(h.orphaned, relay)
+			nodes = append(nodes, h.orphans(o.dataCentre)...)
+		}
+	}
+	slices.Sort(nodes)
+	return h.lose(now, slices.Compact(nodes))
+}
+
+// orphans returns the nodes of the data centre that are not linked here, when
+// it falls to this relay to vouch for them: in its own data centre, or in one
+// whose relays are all silent.
+func (h *Hub) orphans(dataCentre string) []string {
+	if dataCentre != h.dataCentre && h.hasRelayLink(dataCentre) {
+		return nil
+	}
+	var nodes []string
+	for _, r := range h.directory.Records() {
+		if _, linked := h.links[r.Node]; r.DataCentre == dataCentre && !linked {
+			nodes = append(nodes, r.Node)
+		}
+	}
+	return nodes
+}
+
+func (h *Hub) hasRelayLink(dataCentre string) bool {
+	for _, l := range h.links {
+		if l.hello.Relay && l.hello.DataCentre == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Hub) lose(now clock.Time, nodes []string) []Send {
+	var lost []server.Record
+	for _, node := range nodes {
+		if r, ok := h.directory.Record(node); ok && r.State < server.Lost {
+			lost = append(lost, r.WithState(server.Lost))
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	return h.merge(now, "", false, lost)
+}
+
+// forget drops the servers that left long ago, and crash reports past their
+// term.
+func (h *Hub) forget(now clock.Time) {
+	for node, since := range h.departed {
+		if now.Sub(since) < forgetAfter {
+			continue
+		}
+		delete(h.departed, node)
+		h.directory = h.directory.Without(node)
+	}
+	h.register = h.register.WithoutExpired(now)
+}
+
+// invite asks a random node to stand for a vacant seat of its data centre.
+// One node is asked, so that the platform does not see the whole fleet read
+// the leases when a relay dies.
+func (h *Hub) invite(now clock.Time) []Send {
+	if len(h.seats) == 0 || now.Sub(h.invited) < inviteEvery {
+		return nil
+	}
+	h.invited = now
+	taken := map[string]map[int]bool{}
+	for _, s := range h.seats {
+		if taken[s.DataCentre] == nil {
+			taken[s.DataCentre] = map[int]bool{}
+		}
+		taken[s.DataCentre][s.Index] = true
+	}
+	candidates := map[string][]string{}
+	for _, name := range h.linked() {
+		l := h.links[name]
+		if !l.hello.Relay && !h.hasSeat(name) {
+			candidates[l.hello.DataCentre] = append(candidates[l.hello.DataCentre], name)
+		}
+	}
+	return h.inviteTo(taken, candidates)
+}
+
+func (h *Hub) hasSeat(node string) bool {
+	return slices.ContainsFunc(h.seats, func(s Seat) bool { return s.Node == node })
+}
+
+func (h *Hub) inviteTo(taken map[string]map[int]bool, candidates map[string][]string) []Send {
+	var sends []Send
+	for _, dc := range slices.Sorted(maps.Keys(candidates)) {
+		for i := range SeatsPerDC {
+			if taken[dc][i] {
+				continue
+			}
+			names := candidates[dc]
+			sends = append(sends, Send{names[h.rnd.IntN(len(names))], &Invite{Index: i}})
+			break
+		}
+	}
+	return sends
+}
+
+// Progress returns what the nodes linked to this relay have acknowledged.
+func (h *Hub) Progress() []Progress {
+	var nodes []Progress
+	for _, name := range h.linked() {
+		l := h.links[name]
+		if !l.hello.Relay {
+			nodes = append(nodes, Progress{name, l.hello.DataCentre, l.version, l.refused, l.reason})
+		}
+	}
+	return nodes
+}
+
+// status answers a request, after asking the other relays unless it is local.
+func (h *Hub) status(now clock.Time, from string, m *StatusRequest) []Send {
+	if m.Local {
+		return []Send{{from, &StatusReply{ID: m.ID, Nodes: h.Progress()}}}
+	}
+	h.lastID++
+	r := &request{from: from, id: m.ID, nodes: map[string]Progress{}, waiting: map[string]bool{}, until: now.Add(statusWait)}
+	r.add(h.Progress())
+	var sends []Send
+	for _, name := range h.linked() {
+		if h.links[name].hello.Relay {
+			r.waiting[name] = true
+			sends = append(sends, Send{name, &StatusRequest{ID: h.lastID, Local: true}})
+		}
+	}
+	h.requests[h.lastID] = r
+	return append(sends, h.finish(h.lastID)...)
+}
+
+func (r *request) add(nodes []Progress) {
+	for _, p := range nodes {
+		if old, ok := r.nodes[p.Node]; !ok || p.Version >= old.Version {
+			r.nodes[p.Node] = p
+		}
+	}
+}
+
+func (h *Hub) collectReply(from string, m *StatusReply) []Send {
+	r, ok := h.requests[m.ID]
+	if !ok || !r.waiting[from] {
+		return nil
+	}
+	delete(r.waiting, from)
+	r.add(m.Nodes)
+	return h.finish(m.ID)
+}
+
+// finish answers the request if nothing is waited for any more.
+func (h *Hub) finish(id uint64) []Send {
+	r := h.requests[id]
+	if len(r.waiting) > 0 {
+		return nil
+	}
+	return h.answer(id, r)
+}
+
+func (h *Hub) answer(id uint64, r *request) []Send {
+	delete(h.requests, id)
+	nodes := slices.Collect(maps.Values(r.nodes))
+	slices.SortFunc(nodes, func(a, b Progress) int { return cmp.Compare(a.Node, b.Node) })
+	return []Send{{r.from, &StatusReply{ID: r.id, Nodes: nodes, Silent: slices.Sorted(maps.Keys(r.waiting))}}}
+}
+
+func (h *Hub) expireRequests(now clock.Time) []Send {
+	var sends []Send
+	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
+		if r := h.requests[id]; r.until <= now {
+			sends = append(sends, h.answer(id, r)...)
+		}
+	}
+	return sends
+}
--- /dev/null
+++ b/table/editor.go
@@ -0,0 +1,210 @@
+package table
+
+import (
+	"context"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+// Keys in the platform's store.
+const (
+	HeadKey     = "table/head"
+	chunkPrefix = "table/chunk/"
+)
+
+const (
+	commitAttempts = 8
+	retainVersions = 16 // versions for which a replaced chunk stays readable
+)
+
+// Editor commits edits to the platform's store.
+type Editor struct {
+	store gd.Store
+}
+
+// NewEditor returns an editor of the table in store.
+func NewEditor(store gd.Store) *Editor { return &Editor{store: store} }
+
+// Receipt tells the outcome of a commit.
+type Receipt struct {
+	Version uint64
+	At      clock.Time
+	Repeat  bool // the edit had been accepted before
+}
+
+// loaded is the table as it stands in the store.
+type loaded struct {
+	head     Head
+	revision uint64
+	table    Table
+	chunks   Chunks
+}
+
+// Load returns the current table and its head. A store without a table
+// gives the empty table.
+func (e *Editor) Load(ctx context.Context) (Table, Head, error) {
+	l, err := e.load(ctx)
+	return l.table, l.head, err
+}
+
+func (e *Editor) load(ctx context.Context) (loaded, error) {
+	var err error
+	for range commitAttempts {
+		var l loaded
+		l, err = e.loadOnce(ctx)
+		// A chunk that is gone was replaced while we read: read again.
+		if !gd.NotFound.Is(err) {
+			return l, err
+		}
+	}
+	return loaded{}, err
+}
+
+func (e *Editor) loadOnce(ctx context.Context) (loaded, error) {
+	o, err := e.store.Get(ctx, HeadKey)
+	if gd.NotFound.Is(err) {
+		return loaded{}, nil
+	}
+	if err != nil {
+		return loaded{}, err
+	}
+	head, err := DecodeHead(o.Value)
+	if err != nil {
+		return loaded{}, err
+	}
+	chunks, err := Fetch(ctx, e.store, head, nil)
+	if err != nil {
+		return loaded{}, err
+	}
+	t, err := Assemble(head, chunks)
+	return loaded{head, o.Revision, t, chunks}, err
+}
+
+// Fetch returns the chunks that head names, reading those that have lacks.
+func Fetch(ctx context.Context, store gd.Store, head Head, have Chunks) (Chunks, error) {
+	chunks := Chunks{}
+	for _, r := range head.Refs {
+		if data, ok := have[r.Hash]; ok {
+			chunks[r.Hash] = data
+			continue
+		}
+		o, err := store.Get(ctx, r.Key)
+		if err != nil {
+			return nil, err
+		}
+		chunks[r.Hash] = o.Value
+	}
+	return chunks, nil
+}
+
+// Commit merges e into the current table and commits the result. A lost
+// answer is settled by reading back: the head keeps the ids of its edits. An
+// error of kind Unknown means that the outcome could not be learned; repeating
+// the edit with the same id is safe.
+func (e *Editor) Commit(ctx context.Context, edit Edit) (Receipt, error) {
+	inDoubt := false
+	for range commitAttempts {
+		l, err := e.load(ctx)
+		if err != nil {
+			return Receipt{}, doubtful(err, inDoubt, edit.ID)
+		}
+		if r, ok := l.head.record(edit.ID); ok {
+			return Receipt{r.Version, r.At, true}, nil
+		}
+		err = e.commitOnce(ctx, l, edit)
+		switch {
+		case err == nil:
+			return Receipt{l.head.Version + 1, edit.At, false}, nil
+		case gd.Unavailable.Is(err):
+			inDoubt = true
+		case !errorIsLostRace(err):
+			return Receipt{}, err
+		}
+	}
+	return Receipt{}, doubtful(gd.Unavailable.Errorf("gave up after %d attempts", commitAttempts), inDoubt, edit.ID)
+}
+
+func doubtful(err error, inDoubt bool, id string) error {
+	if !inDoubt {
+		return err
+	}
+	return gd.Unknown.Wrapf(err, "the outcome of edit %s is not known, repeat it with the same request id", id)
+}
+
+// errLostRace marks a head that another editor committed first.
+var errLostRace = gd.Conflict.Errorf("another edit was committed first")
+
+func errorIsLostRace(err error) bool { return err == errLostRace }
+
+func (e *Editor) commitOnce(ctx context.Context, l loaded, edit Edit) error {
+	next, err := l.table.WithEdit(edit)
+	if err != nil {
+		return err
+	}
+	if _, err := next.Policy(); err != nil {
+		return err
+	}
+	head, err := e.writeChunks(ctx, l, next, edit.ID)
+	if err != nil {
+		return err
+	}
+	head = head.withRecord(edit)
+	head.Retired = e.retire(ctx, l.head, head)
+	data, err := EncodeHead(head)
+	if err != nil {
+		return err
+	}
+	_, err = e.store.Put(ctx, HeadKey, data, l.revision)
+	if gd.Conflict.Is(err) {
+		return errLostRace
+	}
+	return err
+}
+
+// writeChunks writes the chunks of next that l lacks. The edit's id in the
+// keys keeps two editors from sharing an object, so that retiring one edit's
+// chunk cannot take away another's.
+func (e *Editor) writeChunks(ctx context.Context, l loaded, next Table, id string) (Head, error) {
+	refs, chunks, err := next.Encode()
+	if err != nil {
+		return Head{}, err
+	}
+	for i, r := range refs {
+		if old, ok := l.head.Ref(r.Name); ok && old.Hash == r.Hash {
+			refs[i].Key = old.Key
+			continue
+		}
+		refs[i].Key = chunkPrefix + r.Name + "/" + r.Hash.String() + "-" + id
+		_, err := e.store.Put(ctx, refs[i].Key, chunks[r.Hash], 0)
+		// The key holds the content's hash: one that stands is ours.
+		if err != nil && !gd.Conflict.Is(err) {
+			return Head{}, err
+		}
+	}
+	return Head{Version: next.version, Refs: refs, History: l.head.History}, nil
+}
+
+// retire returns the list of replaced chunks after deleting the old ones.
+func (e *Editor) retire(ctx context.Context, old, next Head) []retired {
+	var list []retired
+	for _, r := range old.Retired {
+		if r.Version+retainVersions > old.Version || !e.deleteChunk(ctx, r.Key) {
+			list = append(list, r)
+		}
+	}
+	for _, r := range old.Refs {
+		if now, ok := next.Ref(r.Name); !ok || now.Key != r.Key {
+			list = append(list, retired{r.Key, next.Version})
+		}
+	}
+	return list
+}
+
+func (e *Editor) deleteChunk(ctx context.Context, key string) bool {
+	o, err := e.store.Get(ctx, key)
+	if err == nil {
+		err = e.store.Delete(ctx, key, o.Revision)
+	}
+	return err == nil || gd.NotFound.Is(err)
+}
