--- /dev/null
+++ b/cmd/geraniumdock/serve.go
@@ -0,0 +1,318 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/hashicorp/go-hclog"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/demo"
+	"github.com/geraniumdock/geraniumdock/identity"
+	"github.com/geraniumdock/geraniumdock/node"
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/settings"
+	"github.com/geraniumdock/geraniumdock/table"
+)
+
+const (
+	logFlush   = 200 * time.Millisecond
+	logBuffer  = 64 << 10
+	demoLimit  = 30 * time.Second
+	privateKey = 0o600
+	publicFile = 0o644
+	folder     = 0o755
+)
+
+type serveCommand struct {
+	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"settings file"`
+}
+
+// Execute runs a node until a signal.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	out := newLogWriter(os.Stderr)
+	defer out.Close()
+	log := hclog.New(&hclog.LoggerOptions{Name: "geraniumdock", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: out})
+	cfg, err := nodeConfig(s, log)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(cfg)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	n.Start()
+	log.Info("serving", "node", n.Name(), "calls", n.CallsAddress(), "peers", n.PeersAddress(), "operator", n.OperatorAddress(), "announce", n.AnnounceAddress())
+	<-signals
+	return n.Close()
+}
+
+func nodeConfig(s settings.Settings, log hclog.Logger) (node.Config, error) {
+	id, err := identity.Load(s.Certificates.Authority, s.Certificates.Certificate, s.Certificates.Key)
+	if err != nil {
+		return node.Config{}, err
+	}
+	operatorToken, err := settings.ReadToken(s.Tokens.OperatorFile, "tokens.operator-file")
+	if err != nil {
+		return node.Config{}, err
+	}
+	announceToken, err := settings.ReadToken(s.Tokens.AnnounceFile, "tokens.announce-file")
+	if err != nil {
+		return node.Config{}, err
+	}
+	seed := uint64(clock.System{}.Now())
+	return node.Config{
+		DataCentre:    s.DataCentre,
+		Region:        s.Region,
+		Identity:      id,
+		Store:         platform.NewClient(platform.NewRemote(s.Platform.Address), clock.System{}, s.Platform.CallsPerSecond, seed),
+		Clock:         clock.System{},
+		Log:           log,
+		CallsAddress:  s.Listen.Calls,
+		PeersAddress:  s.Listen.Peers,
+		OperatorAddr:  s.Listen.Operator,
+		AnnounceAddr:  s.Listen.Announce,
+		OperatorToken: operatorToken,
+		AnnounceToken: announceToken,
+		Seeds:         s.Seeds,
+		Gather:        s.Gather,
+		DrainWait:     s.DrainWait,
+		Seed:          seed,
+	}, nil
+}
+
+// logWriter writes log lines in batches, so that a line for each call costs
+// no system call of its own.
+type logWriter struct {
+	mu   sync.Mutex
+	buf  *bufio.Writer
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+func newLogWriter(to io.Writer) *logWriter {
+	w := &logWriter{buf: bufio.NewWriterSize(to, logBuffer), stop: make(chan struct{})}
+	w.done.Go(w.flushAll)
+	return w
+}
+
+func (w *logWriter) flushAll() {
+	tick := time.NewTicker(logFlush)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			w.flush()
+		case <-w.stop:
+			w.flush()
+			return
+		}
+	}
+}
+
+func (w *logWriter) flush() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.buf.Flush() // nowhere is left to report a failure
+}
+
+// Write buffers p.
+func (w *logWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.buf.Write(p)
+}
+
+// Close writes what is buffered.
+func (w *logWriter) Close() error {
+	close(w.stop)
+	w.done.Wait()
+	return nil
+}
+
+type checkCommand struct {
+	Sheet string `long:"sheet" choice:"rows" choice:"services" choice:"callers" default:"rows" description:"sheet that CSV files hold"`
+	Args  struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute checks files and reports all that are bad.
+func (c *checkCommand) Execute([]string) error {
+	var bad error
+	for _, file := range c.Args.Files {
+		if err := c.check(file); err != nil {
+			fmt.Fprintln(os.Stderr, gd.Message(err))
+			bad = gd.Invalid.Errorf("not all files are in order")
+			continue
+		}
+		fmt.Printf("%s: in order\n", file)
+	}
+	return bad
+}
+
+func (c *checkCommand) check(file string) error {
+	if filepath.Ext(file) != ".csv" && isSettings(file) {
+		_, err := settings.Read(file)
+		return err
+	}
+	d, err := readDocument(file, table.Sheet(c.Sheet))
+	if err != nil || filepath.Ext(file) == ".csv" {
+		return err // one sheet cannot be checked against the others
+	}
+	return d.Check(file)
+}
+
+// isSettings tells a settings file from a table file by its keys.
+func isSettings(file string) bool {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return false
+	}
+	var keys map[string]any
+	if yaml.Unmarshal(data, &keys) != nil {
+		return !strings.Contains(string(data), "\nrows:")
+	}
+	for _, key := range []string{"version", "services", "callers", "rows"} {
+		if _, ok := keys[key]; ok {
+			return false
+		}
+	}
+	return true
+}
+
+type demoCommand struct {
+	Log string `long:"log" choice:"info" choice:"warn" choice:"error" default:"error" description:"level of the nodes' log, on standard error"`
+}
+
+// Execute runs the demo.
+func (c *demoCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	defer cancel()
+	log := hclog.New(&hclog.LoggerOptions{Name: "geraniumdock", Level: hclog.LevelFromString(c.Log)})
+	counts, err := demo.Run(ctx, os.Stdout, log)
+	fmt.Println(counts)
+	if err == nil && counts.Failed() {
+		err = gd.Internal.Errorf("the demo's counts are not as they should be")
+	}
+	return err
+}
+
+type standInCommand struct {
+	Listen string `long:"listen" value-name:"HOST:PORT" default:"127.0.0.1:9000" description:"address to serve at"`
+}
+
+// Execute serves the stand-in until a signal.
+func (c *standInCommand) Execute([]string) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return gd.Invalid.Wrapf(err, "--listen")
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	s := &http.Server{Handler: platform.NewHandler(platform.NewMemory())}
+	context.AfterFunc(ctx, func() { s.Close() })
+	fmt.Fprintf(os.Stderr, "stand-in for the platform at http://%s, in memory\n", l.Addr())
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return gd.Internal.Wrapf(err, "stand-in")
+	}
+	return nil
+}
+
+type tokenCommand struct{}
+
+// Execute prints the hash of a token.
+func (*tokenCommand) Execute([]string) error {
+	data, err := io.ReadAll(os.Stdin)
+	if err != nil {
+		return gd.Invalid.Wrapf(err, "standard input")
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return gd.Invalid.Errorf("no token on standard input")
+	}
+	fmt.Println(identity.TokenHash(token))
+	return nil
+}
+
+type certificatesCommand struct {
+	Out  string `long:"out" value-name:"DIR" default:"." description:"folder to write to"`
+	Args struct {
+		Nodes []string `positional-arg-name:"NODE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute makes certificates.
+func (c *certificatesCommand) Execute([]string) error {
+	if err := os.MkdirAll(c.Out, folder); err != nil {
+		return gd.Invalid.Wrapf(err, "--out")
+	}
+	a, err := c.authority()
+	if err != nil {
+		return err
+	}
+	for _, name := range c.Args.Nodes {
+		certificate, key, err := a.Issue(name)
+		if err != nil {
+			return err
+		}
+		if err := c.write(name+".pem", certificate, publicFile); err != nil {
+			return err
+		}
+		if err := c.write(name+"-key.pem", key, privateKey); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// authority reads the folder's authority or makes one.
+func (c *certificatesCommand) authority() (*identity.Authority, error) {
+	cert, err := os.ReadFile(filepath.Join(c.Out, "authority.pem"))
+	if err == nil {
+		key, err := os.ReadFile(filepath.Join(c.Out, "authority-key.pem"))
+		if err != nil {
+			return nil, gd.Invalid.Wrapf(err, "--out")
+		}
+		return identity.ParseAuthority(cert, key)
+	}
+	a, err := identity.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	key, err := a.KeyPEM()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.write("authority.pem", a.PEM(), publicFile); err != nil {
+		return nil, err
+	}
+	return a, c.write("authority-key.pem", key, privateKey)
+}
+
+func (c *certificatesCommand) write(name string, data []byte, mode os.FileMode) error {
+	if err := os.WriteFile(filepath.Join(c.Out, name), data, mode); err != nil {
+		return gd.Invalid.Wrapf(err, "--out")
+	}
+	return nil
+}
--- a/identity/identity.go
+++ b/identity/identity.go
@@ -174,3 +174,25 @@
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
 }
+
+// KeyPEM returns the authority's key.
+func (a *Authority) KeyPEM() ([]byte, error) {
+	der, err := x509.MarshalECPrivateKey(a.key)
+	if err != nil {
+		return nil, gd.Internal.Wrapf(err, "authority key")
+	}
+	return encodePEM("EC PRIVATE KEY", der), nil
+}
+
+// ParseAuthority reads an authority from PEM blocks.
+func ParseAuthority(certificate, key []byte) (*Authority, error) {
+	pair, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return nil, gd.Invalid.Wrapf(err, "authority")
+	}
+	k, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, gd.Invalid.Errorf("authority: not an elliptic curve key")
+	}
+	return &Authority{pair.Leaf, k, certificate}, nil
+}
