Tests of the decisions against naive models

Found and mended: removing a row that never existed was accepted and left no trace; a row removed and created again could take a cell set from before the removal; a suspect request could wait for an empty server for ever.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,220 @@
+package claim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/platform"
+)
+
+func init() {
+	flag.Set("rapid.seed", "20261204") // the same verdict on every run
+	flag.Set("rapid.nofailfile", "true")
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestPartitionMatchesMap compares claims with a naive map over random
+// histories with time passing.
+func TestPartitionMatchesMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Partition
+		model := map[Key]Entry{}
+		now := clock.Time(0)
+		for serial := range uint64(rapid.IntRange(1, 50).Draw(t, "claims")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "minutes")) * time.Minute)
+			e := Entry{Key: KeyOf("s", "a", fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))), Serial: serial, At: now}
+			old, taken := model[e.Key]
+			if taken && old.At.Add(Retention) < now {
+				taken = false
+			}
+			if !taken {
+				model[e.Key] = e
+			}
+			next, standing, err := p.WithClaims(now, []Entry{e})
+			if err != nil || standing[0] != model[e.Key] {
+				t.Fatalf("%v stands, model %v: %v", standing, model[e.Key], err)
+			}
+			data, err := next.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if p, err = Decode(data); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+func TestFullPartitionRefuses(t *testing.T) {
+	is := is.New(t)
+	var claims []Entry
+	for i := range maxEntries {
+		claims = append(claims, Entry{Key: KeyOf("s", "a", fmt.Sprint(i)), Serial: 1 << 60, At: 1 << 40, Holder: Holder{"a-node-with-a-rather-long-name-000", 1 << 60}})
+	}
+	p, _, err := Partition{}.WithClaims(1<<40, claims)
+	is.NoErr(err)
+	data, err := p.Encode()
+	is.NoErr(err)
+	is.True(len(data) < gd.MaxObjectBytes) // even full it fits an object
+	_, _, err = p.WithClaims(1<<40, []Entry{{Key: KeyOf("s", "b", "one more")}})
+	is.True(gd.ClaimsDown.Is(err))
+}
+
+// claimed is the input and output of a claim for the linearizability check.
+type claimed struct {
+	key   int
+	token string
+}
+
+// claims is the sequential model: the first claim of a key wins for good.
+var claims = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[int][]porcupine.Operation{}
+		for _, op := range history {
+			k := op.Input.(claimed).key
+			byKey[k] = append(byKey[k], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, ops := range byKey {
+			parts = append(parts, ops)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		winner, in, out := state.(string), input.(claimed), output.(string)
+		switch {
+		case out == "": // refused: the claim may or may not have been made
+			if winner == "" {
+				return true, in.token
+			}
+			return true, winner
+		case winner == "":
+			return out == in.token, in.token
+		}
+		return out == winner, winner
+	},
+}
+
+// TestClaimsAreLinearizable lets several writers claim the same keys at once,
+// while answers of writes are lost, and checks the history.
+func TestClaimsAreLinearizable(t *testing.T) {
+	m := platform.NewMemory()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var all sync.WaitGroup
+	begin := clock.System{}
+	for w := range 4 {
+		writer := NewWriter(m, clock.System{}, Holder{Node: fmt.Sprint("n", w), Incarnation: 1})
+		for g := range 4 {
+			all.Go(func() {
+				for i := range 10 {
+					if w == 0 && g == 0 {
+						m.SetFaults(platform.Faults{LoseAnswers: i % 3})
+					}
+					in := claimed{key: (g + i) % 7}
+					op := porcupine.Operation{ClientId: w*4 + g, Call: begin.Monotonic().Nanoseconds()}
+					entry, mine, err := writer.Claim(context.Background(), "s", KeyOf("s", "a", fmt.Sprint(in.key)))
+					op.Return = begin.Monotonic().Nanoseconds()
+					out := fmt.Sprint(entry.Holder, entry.Serial)
+					in.token = fmt.Sprint("other", w, g, i)
+					if err != nil {
+						out = ""
+					} else if mine {
+						in.token = out
+					}
+					op.Input, op.Output = in, out
+					mu.Lock()
+					history = append(history, op)
+					mu.Unlock()
+				}
+			})
+		}
+		t.Cleanup(func() { writer.Close() })
+	}
+	all.Wait()
+	won := map[int]int{}
+	for _, op := range history {
+		if in := op.Input.(claimed); op.Output.(string) == in.token {
+			won[in.key]++
+		}
+	}
+	for key, n := range won {
+		if n > 1 {
+			t.Fatalf("key %d was won %d times", key, n)
+		}
+	}
+	if !porcupine.CheckOperations(claims, history) {
+		t.Fatal("the history is not linearizable")
+	}
+}
+
+func TestLostAnswerOfAClaimIsOurs(t *testing.T) {
+	is := is.New(t)
+	m := platform.NewMemory()
+	w := NewWriter(m, clock.System{}, Holder{"n", 1})
+	defer w.Close()
+	m.SetFaults(platform.Faults{LoseAnswers: 1})
+	_, mine, err := w.Claim(context.Background(), "s", KeyOf("s", "a", "k"))
+	is.NoErr(err)
+	is.True(mine)
+	other := NewWriter(m, clock.System{}, Holder{"m", 1})
+	defer other.Close()
+	standing, mine, err := other.Claim(context.Background(), "s", KeyOf("s", "a", "k"))
+	is.NoErr(err)
+	is.True(!mine)
+	is.Equal(standing.Holder.Node, "n")
+}
+
+func TestOutageRefusesClaims(t *testing.T) {
+	is := is.New(t)
+	m := platform.NewMemory()
+	w := NewWriter(m, clock.System{}, Holder{"n", 1})
+	defer w.Close()
+	m.SetFaults(platform.Faults{Outage: true})
+	_, _, err := w.Claim(context.Background(), "s", KeyOf("s", "a", "k"))
+	is.True(gd.ClaimsDown.Is(err))
+}
+
+func TestOwnerMovesOnlyFromNodesThatLeave(t *testing.T) {
+	is := is.New(t)
+	nodes := []string{"a", "b", "c", "d"}
+	for p := range Partitions {
+		before := Owner("s", p, nodes)
+		after := Owner("s", p, []string{"a", "b", "d"})
+		if before[0] != "c" {
+			is.Equal(after[0], before[0])
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	p, _, _ := Partition{}.WithClaims(0, []Entry{{Key: KeyOf("s", "a", "k")}})
+	data, _ := p.Encode()
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if p, err := Decode(data); err == nil {
+			p.WithClaims(0, []Entry{{Key: KeyOf("s", "a", "k")}})
+		}
+	})
+}
+
+func ExamplePartition() {
+	k := KeyOf("orders", "notary", "order-17")
+	p, _, _ := Partition{}.WithClaims(0, []Entry{{Key: k, Holder: Holder{"orders-1", 1}}})
+	_, standing, _ := p.WithClaims(0, []Entry{{Key: k, Holder: Holder{"orders-2", 1}}})
+	fmt.Println(standing[0].Holder.Node)
+	// Output: orders-1
+}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,223 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+func init() {
+	flag.Set("rapid.seed", "20261204") // the same verdict on every run
+	flag.Set("rapid.nofailfile", "true")
+}
+
+var callsAtOnce = Key{Caller: "a", Dimension: Concurrency}
+
+// holder is a node of the model. What it enforces is what counts, whatever the
+// pool says.
+type holder struct {
+	name        string
+	incarnation uint64
+	serial      uint64
+	meter       Meter
+	asked       []ask // on the way to the pool, perhaps delayed for long
+	answers     []answer
+}
+
+type ask struct {
+	from Asker
+	asks []Ask
+}
+
+type answer struct {
+	serial uint64
+	shares []Share
+}
+
+func (h *holder) holding() int64 {
+	if g, ok := h.meter.gauges[callsAtOnce]; ok {
+		return g.share
+	}
+	return 0
+}
+
+// TestSharesNeverExceedTheLimit drives nodes and a pool through random asks,
+// demands, deaths, restarts, and asks and answers that are lost, delayed or
+// overtaken, and adds up what the nodes really enforce.
+func TestSharesNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := int64(rapid.IntRange(1, 20).Draw(t, "limit"))
+		limits := map[Key]int64{callsAtOnce: limit}
+		var pool Pool
+		var holders []*holder
+		for i := range rapid.IntRange(1, 4).Draw(t, "nodes") {
+			h := &holder{name: fmt.Sprint("n", i), incarnation: 1}
+			h.meter.SetLimits(limits)
+			holders = append(holders, h)
+		}
+		now := clock.Time(0)
+		for range rapid.IntRange(10, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "s")) * time.Second)
+			mono := now.Sub(0)
+			h := rapid.SampledFrom(holders).Draw(t, "node")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				h.meter.gauge(mono, callsAtOnce).demand = float64(rapid.IntRange(0, 30).Draw(t, "demand"))
+				h.meter.AskAgain()
+				h.serial++
+				h.asked = append(h.asked, ask{Asker{h.name, h.incarnation, h.serial}, h.meter.Asks(mono)})
+				h.answers = nil // only the newest ask's answer is taken
+			case 2, 3: // any ask under way reaches the pool, an old one too
+				if len(h.asked) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(h.asked)-1).Draw(t, "which")
+				a := h.asked[i]
+				h.asked = append(h.asked[:i:i], h.asked[i+1:]...)
+				next, shares := pool.WithAsks(now, a.from, a.asks, limits)
+				if rapid.IntRange(0, 4).Draw(t, "write fails") == 0 {
+					continue
+				}
+				pool = next
+				if a.from.Incarnation == h.incarnation && a.from.Serial == h.serial {
+					h.answers = append(h.answers, answer{a.from.Serial, shares})
+				}
+			case 4:
+				for _, a := range h.answers {
+					for _, s := range a.shares {
+						h.meter.Grant(mono, s)
+					}
+				}
+				h.answers = nil
+			case 5: // the process is gone and another starts beside the server
+				if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+					h.incarnation++
+					h.serial, h.answers, h.meter = 0, nil, Meter{}
+					h.meter.SetLimits(limits)
+				}
+			}
+			var sum int64
+			for _, h := range holders {
+				sum += h.holding()
+			}
+			if sum > limit {
+				t.Fatalf("shares add up to %d, the limit is %d", sum, limit)
+			}
+		}
+	})
+}
+
+// settleAll lets all nodes ask in turn until nothing moves.
+func settleAll(pool Pool, limits map[Key]int64, meters map[string]*Meter, demand map[string]float64) Pool {
+	serial := uint64(0)
+	for _, g := range pool.Grants() {
+		serial = max(serial, g.Serial)
+	}
+	for range 6 {
+		for _, name := range []string{"n0", "n1", "n2"} {
+			m, ok := meters[name]
+			if !ok {
+				continue
+			}
+			serial++
+			m.gauge(0, callsAtOnce).demand = demand[name]
+			m.AskAgain()
+			var shares []Share
+			pool, shares = pool.WithAsks(0, Asker{name, 1, serial}, m.Asks(0), limits)
+			for _, s := range shares {
+				m.Grant(0, s)
+			}
+		}
+	}
+	return pool
+}
+
+func TestSharesFollowDemand(t *testing.T) {
+	is := is.New(t)
+	limits := map[Key]int64{callsAtOnce: 12}
+	meters := map[string]*Meter{"n0": {}, "n1": {}, "n2": {}}
+	for _, m := range meters {
+		m.SetLimits(limits)
+	}
+	share := func(n string) int64 { return meters[n].gauges[callsAtOnce].share }
+	pool := settleAll(Pool{}, limits, meters, map[string]float64{})
+	is.Equal([]int64{share("n0"), share("n1"), share("n2")}, []int64{4, 4, 4})
+	pool = settleAll(pool, limits, meters, map[string]float64{"n0": 10, "n1": 1})
+	is.True(share("n0") >= 10)
+	is.Equal(share("n0")+share("n1")+share("n2"), int64(12))
+	pool = pool.WithRelease("n0")
+	delete(meters, "n0")
+	settleAll(pool, limits, meters, map[string]float64{"n1": 10})
+	is.Equal(share("n1")+share("n2"), int64(12)) // what n0 held is used again
+}
+
+func TestDeadNodesShareIsHeldForTheTerm(t *testing.T) {
+	is := is.New(t)
+	limits := map[Key]int64{callsAtOnce: 10}
+	ask := []Ask{{Key: callsAtOnce, Demand: 10}}
+	pool, shares := Pool{}.WithAsks(0, Asker{"dead", 1, 1}, ask, limits)
+	is.Equal(shares[0].Amount, int64(10))
+	pool, shares = pool.WithAsks(clock.Time(0).Add(Term), Asker{"other", 1, 1}, ask, limits)
+	is.Equal(shares[0].Amount, int64(0)) // it may be cut off and still serving
+	_, shares = pool.WithAsks(clock.Time(0).Add(Term+2*skew), Asker{"other", 1, 2}, ask, limits)
+	is.Equal(shares[0].Amount, int64(10))
+}
+
+func TestMeterEnforcesItsShare(t *testing.T) {
+	is := is.New(t)
+	rate := Key{Caller: "a", Dimension: Rate}
+	var m Meter
+	m.SetLimits(map[Key]int64{rate: 100 * RateUnits, callsAtOnce: 4})
+	is.True(gd.RateLimited.Is(m.Enter(0, "a"))) // no share yet
+	is.NoErr(m.Enter(0, "free"))                // no limit
+	m.Grant(0, Share{rate, 10 * RateUnits, 100 * RateUnits})
+	m.Grant(0, Share{callsAtOnce, 2, 4})
+	admitted := 0
+	for ms := range 10_000 {
+		if m.Enter(time.Duration(ms)*time.Millisecond, "a") == nil {
+			admitted++
+			m.Leave("a")
+		}
+	}
+	is.True(admitted >= 99 && admitted <= 103)
+	later := time.Hour
+	is.NoErr(m.Enter(later, "a"))
+	is.NoErr(m.Enter(later, "a"))
+	is.True(gd.RateLimited.Is(m.Enter(later, "a"))) // two run
+	m.SetLimits(map[Key]int64{rate: 100 * RateUnits, callsAtOnce: 2})
+	is.Equal(m.gauges[callsAtOnce].share, int64(1)) // a lowered limit shrinks shares at once
+}
+
+func FuzzDecode(f *testing.F) {
+	pool, _ := Pool{}.WithAsks(0, Asker{"n", 1, 1}, []Ask{{Key: callsAtOnce, Demand: 1}}, map[Key]int64{callsAtOnce: 2})
+	data, _ := pool.Encode()
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := p.Encode(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func ExamplePool() {
+	limits := map[Key]int64{{Caller: "app", Dimension: Concurrency}: 4}
+	asks := []Ask{{Key: Key{Caller: "app", Dimension: Concurrency}, Demand: 3}}
+	pool, shares := Pool{}.WithAsks(0, Asker{"tags-1", 1, 1}, asks, limits)
+	fmt.Println(shares[0].Amount)
+	_, shares = pool.WithAsks(0, Asker{"tags-2", 1, 1}, asks, limits)
+	fmt.Println(shares[0].Amount)
+	// Output:
+	// 4
+	// 0
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,61 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+func report(fp Fingerprint, node string, alone bool) Report {
+	return Report{Fingerprint: fp, Node: node, Incarnation: 1, Alone: alone}
+}
+
+func TestVerdicts(t *testing.T) {
+	const poison, innocent = Fingerprint(1), Fingerprint(2)
+	for name, c := range map[string]struct {
+		reports                []Report
+		poison, innocentTreats Verdict
+	}{
+		"no crash":    {nil, Clear, Clear},
+		"one crash":   {[]Report{report(poison, "a", false), report(innocent, "a", false)}, Suspect, Suspect},
+		"same twice":  {[]Report{report(poison, "a", true), report(poison, "a", true)}, Suspect, Clear},
+		"two crashes": {[]Report{report(poison, "a", false), report(innocent, "a", false), report(poison, "b", true)}, Refused, Suspect},
+		// A request that only happened to be in flight at both crashes is
+		// not refused: it never ran alone.
+		"bystander twice": {[]Report{report(poison, "a", false), report(innocent, "a", false), report(poison, "b", false), report(innocent, "b", false)}, Suspect, Suspect},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g, _ := Register{}.WithReports(c.reports...)
+			is.Equal(g.Verdict(0, poison), c.poison)
+			is.Equal(g.Verdict(0, innocent), c.innocentTreats)
+			is.Equal(g.Verdict(clock.Time(0).Add(Term), poison), Clear)
+			_, again := g.WithReports(c.reports...)
+			is.Equal(len(again), 0)
+			is.Equal(len(g.WithoutExpired(clock.Time(0).Add(Term)).Reports()), 0)
+		})
+	}
+}
+
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	is := is.New(t)
+	one := Of("app", "POST", "/tags", []byte("a"))
+	is.Equal(one, Of("app", "POST", "/tags", []byte("a")))
+	for _, other := range []Fingerprint{Of("app", "POST", "/tags", []byte("b")), Of("app", "PUT", "/tags", []byte("a")), Of("scanner", "POST", "/tags", []byte("a"))} {
+		is.True(one != other)
+	}
+}
+
+func ExampleRegister() {
+	fp := Of("app", "POST", "/tags", []byte("poison"))
+	g, _ := Register{}.WithReports(Report{Fingerprint: fp, Node: "tags-1"})
+	fmt.Println(g.Verdict(0, fp))
+	g, _ = g.WithReports(Report{Fingerprint: fp, Node: "tags-2", Alone: true})
+	fmt.Println(g.Verdict(0, fp))
+	// Output:
+	// suspect
+	// refused
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -17,6 +17,7 @@
 	firstCost    = 5 * time.Millisecond
 	longFactor   = 4 // a flow this many times slower than another leaves a slot free
 	recentWithin = 10 * time.Second
+	aloneHold    = 500 * time.Millisecond // after this an item that runs alone holds back the others
 )
 
 // Item is a call that wants a slot.
@@ -27,6 +28,8 @@
 	Limit    int           // how many calls of the caller may wait
 	Deadline time.Duration // on the monotonic clock
 	Alone    bool          // runs only while nothing else does
+
+	since time.Duration
 }
 
 // Fair is the queue of one server. The owner serialises access and passes
@@ -102,6 +105,7 @@
 	if wait := f.expectedWait(fl); it.Deadline-now < wait+fl.mean {
 		return gd.Hopeless.Errorf("expected wait of %s is beyond the deadline in %s", wait, it.Deadline-now)
 	}
+	it.since = now
 	fl.waiting = append(fl.waiting, it)
 	return nil
 }
@@ -144,7 +148,7 @@
 // their start.
 func (f *Fair) Start(now time.Duration) []Item {
 	var started []Item
-	for len(f.running) < f.slots && !f.alone {
+	for len(f.running) < f.slots && !f.alone && !f.held(now) {
 		fl := f.pick(now)
 		if fl == nil {
 			break
@@ -154,6 +158,20 @@
 	return started
 }
 
+// held reports whether an item that runs alone has waited long enough for the
+// server to be emptied for it.
+func (f *Fair) held(now time.Duration) bool {
+	if len(f.running) == 0 {
+		return false
+	}
+	for _, fl := range f.flows {
+		if len(fl.waiting) > 0 && fl.waiting[0].Alone && now-fl.waiting[0].since >= aloneHold {
+			return true
+		}
+	}
+	return false
+}
+
 // pick returns the eligible flow that has spent least, or nil.
 func (f *Fair) pick(now time.Duration) *flow {
 	var best *flow
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,70 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRetriesStayWithinTheAllowance(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	retries := 0
+	for range 10_000 {
+		b.Called(0, 10)
+		for range MaxAttempts - 1 { // everything fails
+			if b.Take(0) {
+				retries++
+			}
+		}
+	}
+	is.True(retries >= 900 && retries <= 1000+int(burst))
+}
+
+// TestDepthDoesNotMultiply sends calls down a chain of 17 services whose last
+// one refuses everything. A node retries what it could not place itself; what
+// a service answers is an answer. So only the last node retries.
+func TestDepthDoesNotMultiply(t *testing.T) {
+	is := is.New(t)
+	const depth, calls = 17, 1000
+	var budgets [depth]Budget
+	attempts := [depth]int{}
+	var call func(level int) bool
+	call = func(level int) bool {
+		budgets[level].Called(0, 10)
+		for i := range MaxAttempts {
+			attempts[level]++
+			if level < depth-1 {
+				call(level + 1)
+				return true // an answer, whatever it says
+			}
+			if i+1 == MaxAttempts || !budgets[level].Take(0) {
+				break
+			}
+		}
+		return false
+	}
+	for range calls {
+		call(0)
+	}
+	is.Equal(attempts[0], calls)
+	is.True(attempts[depth-1] <= calls*11/10+int(burst))
+}
+
+func TestQuietCallerMayRetryAgainAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	for b.Take(0) {
+	}
+	is.True(!b.Take(time.Second))
+	is.True(b.Take(11 * time.Second))
+}
+
+func ExampleBudget() {
+	var b Budget
+	b.Called(0, 10)
+	fmt.Println(b.Take(0), b.Take(0), b.Take(0), b.Take(0))
+	// Output: true true true false
+}
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	flag.Set("rapid.seed", "20261204") // the same verdict on every run
+	flag.Set("rapid.nofailfile", "true")
+}
+
+// TestCrossedUpdatesMergeAlike merges the same records in two orders, with
+// repeats, and compares with a model that keeps the newest of each node.
+func TestCrossedUpdatesMergeAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
+			return Record{
+				Node:        rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node"),
+				Incarnation: uint64(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+				Sequence:    uint64(rapid.IntRange(1, 3).Draw(t, "sequence")),
+				State:       State(rapid.IntRange(0, 3).Draw(t, "state")),
+			}
+		}), 0, 20).Draw(t, "records")
+		model := map[string]Record{}
+		var one, other Directory
+		for _, r := range records {
+			if old, ok := model[r.Node]; !ok || r.Compare(old) > 0 {
+				model[r.Node] = r
+			}
+			one, _ = one.WithRecords(r)
+		}
+		other, _ = other.WithRecords(rapid.Permutation(records).Draw(t, "crossed")...)
+		other, again := other.WithRecords(records...)
+		if len(again) != 0 || one.Digest() != other.Digest() || len(one.Records()) != len(model) {
+			t.Fatalf("%v differs from %v", one.Records(), other.Records())
+		}
+		for node, want := range model {
+			if got, _ := other.Record(node); got != want {
+				t.Fatalf("%s: %v, model %v", node, got, want)
+			}
+		}
+	})
+}
+
+func fleet(n int, dataCentre string) []Record {
+	var records []Record
+	for i := range n {
+		records = append(records, Record{Node: fmt.Sprint(dataCentre, i), DataCentre: dataCentre, Region: "r", Slots: 2})
+	}
+	return records
+}
+
+func warm(place Place, records []Record) *Estimates {
+	e := NewEstimates(place)
+	for _, r := range records {
+		e.of(0, r.Node)
+	}
+	return e
+}
+
+func shares(e *Estimates, now time.Duration, records []Record, n int) map[string]int {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	count := map[string]int{}
+	for range n {
+		c, ok := e.Choose(now, records, nil, rnd)
+		if ok {
+			count[c.Server.Node]++
+		}
+	}
+	return count
+}
+
+const settled = time.Hour
+
+func TestChoiceNeverEjectsAll(t *testing.T) {
+	is := is.New(t)
+	records := fleet(3, "dc")
+	e := warm(Place{"dc", "r"}, records)
+	for range 100 {
+		for _, r := range records {
+			e.Failed(settled, r.Node)
+		}
+	}
+	total := 0
+	for _, n := range shares(e, settled, records, 30) {
+		total += n
+	}
+	is.Equal(total, 30)
+}
+
+func TestChoice(t *testing.T) {
+	near, far := fleet(3, "dc"), fleet(3, "other")
+	both := append(append([]Record{}, near...), far...)
+	for name, c := range map[string]struct {
+		prepare func(*Estimates, []Record)
+		records []Record
+		check   func(map[string]int) bool
+	}{
+		"own data centre first": {func(*Estimates, []Record) {}, both, func(n map[string]int) bool { return n["other0"]+n["other1"]+n["other2"] == 0 }},
+		"elsewhere when the own is slow": {func(e *Estimates, _ []Record) {
+			for _, r := range near {
+				for range 8 {
+					e.Sent(settled, r.Node)
+				}
+			}
+		}, both, func(n map[string]int) bool { return n["other0"] > 0 }},
+		"failing server is avoided": {func(e *Estimates, _ []Record) { e.Failed(settled, "dc0") }, near, func(n map[string]int) bool { return n["dc0"] == 0 }},
+		"penalty decays":            {func(e *Estimates, _ []Record) { e.Failed(settled-time.Minute, "dc0") }, near, func(n map[string]int) bool { return n["dc0"] > 100 }},
+		"busy server is avoided":    {func(e *Estimates, _ []Record) { e.Heard(settled, "dc0", Load{Queued: 20, Running: 2}) }, near, func(n map[string]int) bool { return n["dc0"] == 0 }},
+		"old load is forgotten":     {func(e *Estimates, _ []Record) { e.Heard(settled-time.Minute, "dc0", Load{Queued: 20}) }, near, func(n map[string]int) bool { return n["dc0"] > 100 }},
+		"lying health is a hint":    {func(_ *Estimates, r []Record) { r[0].Unhealthy = true; r[1].Unhealthy = true; r[2].Unhealthy = true }, fleet(3, "dc"), func(n map[string]int) bool { return len(n) == 3 }},
+		"cold server gets little": {func(e *Estimates, _ []Record) { e.of(0, "dc0").first = settled }, near, func(n map[string]int) bool {
+			return n["dc0"] > 0 && n["dc0"] < n["dc1"]/2
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := warm(Place{"dc", "r"}, both)
+			c.prepare(e, c.records)
+			if n := shares(e, settled, c.records, 1000); !c.check(n) {
+				t.Fatal(n)
+			}
+		})
+	}
+}
+
+func TestTriedServersAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	records := fleet(2, "dc")
+	e := warm(Place{"dc", "r"}, records)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	c, ok := e.Choose(settled, records, []string{"dc0"}, rnd)
+	is.True(ok)
+	is.Equal(c.Server.Node, "dc1")
+	_, ok = e.Choose(settled, records, []string{"dc0", "dc1"}, rnd)
+	is.True(!ok)
+}
+
+func ExampleEstimates() {
+	e := NewEstimates(Place{DataCentre: "ist-a", Region: "tr-west"})
+	servers := []Record{{Node: "tags-1", DataCentre: "ist-a", Slots: 6}, {Node: "tags-2", DataCentre: "ist-a", Slots: 6}}
+	e.Failed(0, "tags-1")
+	c, _ := e.Choose(0, servers, nil, rand.New(rand.NewPCG(1, 1)))
+	fmt.Println(c.Server.Node)
+	// Output: tags-2
+}
--- /dev/null
+++ b/table/editor_test.go
@@ -0,0 +1,143 @@
+package table
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/platform"
+)
+
+func weight(id, caller, value string, read uint64) Edit {
+	return Edit{ID: id, Author: id, Changes: []Change{{Key: RowKey(caller, "s", "weight"), Value: value, Read: read}}}
+}
+
+func newTable(t *testing.T) (*platform.Memory, *Editor) {
+	t.Helper()
+	m := platform.NewMemory()
+	e := NewEditor(m)
+	if _, err := e.Commit(context.Background(), sample()); err != nil {
+		t.Fatal(err)
+	}
+	return m, e
+}
+
+func TestLostAnswerOfCommitIsLookedUp(t *testing.T) {
+	// One answer is lost at a time: of the chunk's write, then of the head's.
+	for lost := 1; lost <= 3; lost++ {
+		is := is.New(t)
+		m, e := newTable(t)
+		m.SetFaults(platform.Faults{LoseAnswers: lost})
+		r, err := e.Commit(context.Background(), weight("x", "a", "5", 1))
+		is.NoErr(err)
+		is.Equal(r.Version, uint64(2))
+		m.SetFaults(platform.Faults{})
+		again, err := e.Commit(context.Background(), weight("x", "a", "5", 1))
+		is.NoErr(err)
+		is.Equal(again, Receipt{Version: 2, Repeat: true})
+		tab, _, err := e.Load(context.Background())
+		is.NoErr(err)
+		is.Equal(tab.Version(), uint64(2)) // applied once
+	}
+}
+
+func TestOutcomeThatCannotBeLearnedIsUnknown(t *testing.T) {
+	is := is.New(t)
+	m, e := newTable(t)
+	m.SetFaults(platform.Faults{LoseAnswers: 1000})
+	_, err := e.Commit(context.Background(), weight("x", "a", "5", 1))
+	if err != nil {
+		is.True(gd.Unknown.Is(err))
+		is.True(strings.Contains(err.Error(), "x"))
+	}
+	m.SetFaults(platform.Faults{Outage: true})
+	_, err = e.Commit(context.Background(), weight("y", "a", "6", 1))
+	is.True(gd.Unavailable.Is(err)) // nothing was sent
+}
+
+// racing runs a hook before each write of the head.
+type racing struct {
+	gd.Store
+	before func()
+}
+
+func (r *racing) Put(ctx context.Context, key string, value []byte, rev uint64) (gd.Object, error) {
+	if hook := r.before; key == HeadKey && hook != nil {
+		r.before = nil
+		hook()
+	}
+	return r.Store.Put(ctx, key, value, rev)
+}
+
+func TestOperatorsRace(t *testing.T) {
+	for name, c := range map[string]struct {
+		rival    Edit
+		conflict bool
+	}{
+		"same cell":       {weight("rival", "a", "8", 1), true},
+		"same cell alike": {weight("rival", "a", "5", 1), false},
+		"other cell":      {weight("rival", "b", "8", 1), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m, e := newTable(t)
+			store := &racing{Store: m, before: func() {
+				_, err := e.Commit(context.Background(), c.rival)
+				is.NoErr(err)
+			}}
+			_, err := NewEditor(store).Commit(context.Background(), weight("x", "a", "5", 1))
+			is.Equal(gd.Conflict.Is(err), c.conflict)
+			tab, head, err := e.Load(context.Background())
+			is.NoErr(err)
+			cell, _ := tab.Cell(RowKey("a", "s", "weight"))
+			if c.conflict {
+				is.Equal(cell.Value, "8") // the winner stands
+				is.Equal(len(head.History), 2)
+				return
+			}
+			is.Equal(cell.Value, "5")
+			is.Equal(len(head.History), 3)
+		})
+	}
+}
+
+func TestTableAtTheObjectLimit(t *testing.T) {
+	is := is.New(t)
+	_, e := newTable(t)
+	big := Edit{ID: "big", Author: "op"}
+	value := strings.TrimSpace(strings.Repeat("GET ", 1000))
+	for i := range 300 {
+		name := fmt.Sprintf("c%d", i)
+		big.Changes = append(big.Changes,
+			Change{Key: Key{Callers, name, "token-sha256"}, Value: tokenOf(100 + i), Read: 1},
+			Change{Key: RowKey(name, "s", "idempotent-methods"), Value: value, Read: 1})
+	}
+	_, err := e.Commit(context.Background(), big)
+	is.True(gd.TooLarge.Is(err))
+	is.True(strings.Contains(err.Error(), "chunk s"))
+	tab, _, err := e.Load(context.Background())
+	is.NoErr(err)
+	is.Equal(tab.Version(), uint64(1)) // unchanged
+	big.ID, big.Changes = "smaller", big.Changes[:200]
+	_, err = e.Commit(context.Background(), big)
+	is.NoErr(err)
+}
+
+func TestReplacedChunksAreDeletedAfterSomeVersions(t *testing.T) {
+	is := is.New(t)
+	m, e := newTable(t)
+	for i := range 3 * retainVersions {
+		_, err := e.Commit(context.Background(), weight(fmt.Sprint("e", i), "a", fmt.Sprint(i%7+1), 1000))
+		is.NoErr(err)
+	}
+	objects, err := m.List(context.Background(), chunkPrefix)
+	is.NoErr(err)
+	is.True(len(objects) <= retainVersions+6) // 3 chunks, the retained ones, and those of the last commit
+	_, head, err := e.Load(context.Background())
+	is.NoErr(err)
+	is.True(len(head.Retired) <= retainVersions+2)
+}
--- a/table/table.go
+++ b/table/table.go
@@ -68,13 +68,16 @@
 	return strings.Compare(a.Column, b.Column)
 }
 
-// Cell is a value with the version that set it and its author. A cell with
-// an empty column marks the row's creation or, with Removed, its removal.
+// Cell is a value with the version that set it and its author. The cell with
+// the empty column stands for the row: it keeps the version that last removed
+// the row, also when the row is created again.
 type Cell struct {
 	Value   string `cbor:"1,keyasint,omitempty"`
 	Changed uint64 `cbor:"2,keyasint"`
 	Author  string `cbor:"3,keyasint,omitempty"`
 	Removed bool   `cbor:"4,keyasint,omitempty"`
+	Ended   uint64 `cbor:"5,keyasint,omitempty"`
+	EndedBy string `cbor:"6,keyasint,omitempty"`
 }
 
 // Change sets a cell, or removes a row when Remove is set. Read is the table
@@ -200,17 +203,21 @@
 	if c.Remove {
 		return t.checkRemovalRace(c)
 	}
-	if row, ok := t.chunks[c.Key.chunk()][Key{c.Key.Sheet, c.Key.Row, ""}]; ok && row.Removed && row.Changed > c.Read {
-		return conflict(Key{c.Key.Sheet, c.Key.Row, ""}, row, c.Read)
+	row := Key{c.Key.Sheet, c.Key.Row, ""}
+	if r, ok := t.chunks[c.Key.chunk()][row]; ok && r.Ended > c.Read {
+		return conflict(row, Cell{Changed: r.Ended, Author: r.EndedBy, Removed: true}, c.Read)
 	}
-	cell, ok := t.chunks[c.Key.chunk()][c.Key]
-	if ok && cell.Changed > c.Read && (cell.Removed || cell.Value != c.Value) {
+	cell, ok := t.Cell(c.Key)
+	if ok && cell.Changed > c.Read && cell.Value != c.Value {
 		return conflict(c.Key, cell, c.Read)
 	}
 	return nil
 }
 
 func (t Table) checkRemovalRace(c Change) error {
+	if _, ok := t.Cell(c.Key); !ok {
+		return gd.Invalid.Errorf("%s: no such row", c.Key)
+	}
 	for k, cell := range t.chunks[c.Key.chunk()] {
 		if k.Sheet == c.Key.Sheet && k.Row == c.Key.Row && !cell.Removed && cell.Changed > c.Read {
 			return conflict(k, cell, c.Read)
@@ -233,13 +240,13 @@
 	if c.Remove {
 		for k, old := range ch {
 			if k.Sheet == row.Sheet && k.Row == row.Row && !old.Removed {
-				ch[k] = Cell{Changed: version, Author: author, Removed: true}
+				ch[k] = Cell{Changed: version, Author: author, Removed: true, Ended: version, EndedBy: author}
 			}
 		}
 		return
 	}
 	if old, ok := ch[row]; !ok || old.Removed {
-		ch[row] = Cell{Changed: version, Author: author}
+		ch[row] = Cell{Changed: version, Author: author, Ended: old.Ended, EndedBy: old.EndedBy}
 	}
 	if old, ok := ch[c.Key]; ok && !old.Removed && old.Value == c.Value {
 		return
--- /dev/null
+++ b/table/table_test.go
@@ -0,0 +1,349 @@
+package table
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+func init() {
+	flag.Set("rapid.seed", "20261204") // the same verdict on every run
+	flag.Set("rapid.nofailfile", "true")
+}
+
+func tokenOf(n int) string { return fmt.Sprintf("%064x", n+1) }
+
+// sample is an edit that makes a valid table of callers a, b and services s, u.
+func sample() Edit {
+	return Edit{ID: "first", Author: "op", Changes: []Change{
+		{Key: Key{Services, "s", "routes"}, Value: "/s"},
+		{Key: Key{Services, "u", "routes"}, Value: "/u"},
+		{Key: Key{Callers, "a", "token-sha256"}, Value: tokenOf(1)},
+		{Key: Key{Callers, "b", "token-sha256"}, Value: tokenOf(2)},
+		{Key: RowKey("a", "s", "weight"), Value: "1"},
+		{Key: RowKey("b", "s", "weight"), Value: "2"},
+	}}
+}
+
+// model is the naive table: the log of all accepted writes.
+type model struct {
+	version uint64
+	log     []logged
+}
+
+type logged struct {
+	version uint64
+	change  Change
+}
+
+// last returns the newest write that touched k, directly or by removing its
+// row.
+func (m *model) last(k Key) (logged, bool) {
+	for i := len(m.log) - 1; i >= 0; i-- {
+		l := m.log[i]
+		if l.change.Key == k || l.change.Remove && l.change.Key.Sheet == k.Sheet && l.change.Key.Row == k.Row {
+			return l, true
+		}
+	}
+	return logged{}, false
+}
+
+func (m *model) value(k Key) (string, bool) {
+	l, ok := m.last(k)
+	return l.change.Value, ok && !l.change.Remove
+}
+
+// accepts replays the rule: a change loses only against a newer write of the
+// same cell with another value, or a newer removal of the row.
+func (m *model) accepts(e Edit) bool {
+	for _, c := range e.Changes {
+		if c.Remove && !m.hasRow(c.Key) {
+			return false
+		}
+		for _, l := range m.log {
+			sameRow := l.change.Key.Sheet == c.Key.Sheet && l.change.Key.Row == c.Key.Row
+			if l.version <= c.Read || !sameRow {
+				continue
+			}
+			newest, _ := m.last(l.change.Key)
+			current := newest.version == l.version
+			switch {
+			case c.Remove && !l.change.Remove && current:
+				return false
+			case !c.Remove && l.change.Remove:
+				return false
+			case !c.Remove && l.change.Key == c.Key && current && l.change.Value != c.Value:
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (m *model) hasRow(row Key) bool {
+	for i := len(m.log) - 1; i >= 0; i-- {
+		if k := m.log[i].change.Key; k.Sheet == row.Sheet && k.Row == row.Row {
+			return !m.log[i].change.Remove
+		}
+	}
+	return false
+}
+
+func (m *model) apply(e Edit) {
+	m.version++
+	for _, c := range e.Changes {
+		if v, ok := m.value(c.Key); ok && v == c.Value && !c.Remove {
+			continue // an unchanged cell keeps the version that set it
+		}
+		m.log = append(m.log, logged{m.version, c})
+	}
+}
+
+func TestMergeMatchesLogOfWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tab Table
+		var m model
+		for i := range rapid.IntRange(1, 30).Draw(t, "edits") {
+			e := drawEdit(t, i, tab.Version())
+			next, err := tab.WithEdit(e)
+			if accepted := err == nil; accepted != m.accepts(e) {
+				t.Fatalf("edit %+v: table says %v, model accepts %v", e, err, m.accepts(e))
+			}
+			if err != nil {
+				if !gd.Conflict.Is(err) && !strings.Contains(err.Error(), "no such row") {
+					t.Fatalf("kind of %v", err)
+				}
+				continue
+			}
+			tab = next
+			m.apply(e)
+			compare(t, tab, &m)
+		}
+	})
+}
+
+func drawEdit(t *rapid.T, i int, version uint64) Edit {
+	e := Edit{ID: fmt.Sprint(i), Author: "op"}
+	for range rapid.IntRange(1, 2).Draw(t, "changes") {
+		column := rapid.SampledFrom([]string{"weight", "rate-limit"}).Draw(t, "column")
+		c := Change{
+			Key:   RowKey(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "caller"), "s", column),
+			Value: fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "value")),
+			Read:  version - min(version, uint64(rapid.IntRange(0, 4).Draw(t, "age"))),
+		}
+		if rapid.IntRange(0, 7).Draw(t, "remove") == 0 {
+			c = Change{Key: Key{c.Key.Sheet, c.Key.Row, ""}, Remove: true, Read: c.Read}
+		}
+		if len(e.Changes) == 0 || e.Changes[0].Key.Row != c.Key.Row {
+			e.Changes = append(e.Changes, c)
+		}
+	}
+	return e
+}
+
+func compare(t *rapid.T, tab Table, m *model) {
+	for _, caller := range []string{"a", "b"} {
+		for _, column := range []string{"weight", "rate-limit"} {
+			k := RowKey(caller, "s", column)
+			c, ok := tab.Cell(k)
+			value, there := m.value(k)
+			if ok != there || ok && c.Value != value {
+				t.Fatalf("%s: table %q %v, model %q %v", k, c.Value, ok, value, there)
+			}
+		}
+	}
+}
+
+func TestConflictShowsWinner(t *testing.T) {
+	is := is.New(t)
+	tab, err := Table{}.WithEdit(sample())
+	is.NoErr(err)
+	tab, err = tab.WithEdit(Edit{ID: "2", Author: "ayse", Changes: []Change{{Key: RowKey("a", "s", "weight"), Value: "7", Read: 1}}})
+	is.NoErr(err)
+	_, err = tab.WithEdit(Edit{ID: "3", Author: "jan", Changes: []Change{{Key: RowKey("a", "s", "weight"), Value: "9", Read: 1}}})
+	is.True(gd.Conflict.Is(err))
+	for _, part := range []string{"row a/s", "column weight", `"7"`, "ayse", "version 2"} {
+		is.True(strings.Contains(err.Error(), part))
+	}
+	_, err = tab.WithEdit(Edit{ID: "4", Author: "jan", Changes: []Change{{Key: RowKey("a", "s", "rate-limit"), Value: "9", Read: 1}}})
+	is.NoErr(err) // another cell of the row merges
+}
+
+func TestPolicyRefusesBadTables(t *testing.T) {
+	for name, c := range map[string]struct {
+		change Change
+		text   string
+	}{
+		"unknown service":    {Change{Key: RowKey("a", "nowhere", "weight"), Value: "1"}, "unknown service nowhere"},
+		"unknown caller":     {Change{Key: RowKey("nobody", "s", "weight"), Value: "1"}, "unknown caller nobody"},
+		"weight zero":        {Change{Key: RowKey("a", "s", "weight"), Value: "0"}, "column weight: 0 is not from 1"},
+		"weight text":        {Change{Key: RowKey("a", "s", "weight"), Value: "much"}, `"much" is not a whole number`},
+		"unknown column":     {Change{Key: RowKey("a", "s", "urgency"), Value: "1"}, "no such column"},
+		"limits contradict":  {Change{Key: RowKey("a", "s", "rate-limit"), Value: "1"}, "column queue-limit"},
+		"route twice":        {Change{Key: Key{Services, "u", "routes"}, Value: "/s"}, "also a route of service s"},
+		"route without root": {Change{Key: Key{Services, "u", "routes"}, Value: "s"}, "does not begin with /"},
+		"token twice":        {Change{Key: Key{Callers, "b", "token-sha256"}, Value: tokenOf(1)}, "also caller a's"},
+		"row name":           {Change{Key: Key{Rows, "a", "weight"}, Value: "1"}, "not named caller/service"},
+		"timeout":            {Change{Key: RowKey("a", "s", "timeout"), Value: "10"}, "is not a duration"},
+		"level":              {Change{Key: RowKey("a", "s", "deduplication"), Value: "maybe"}, "is not none or platform"},
+		"service with rows":  {Change{Key: Key{Services, "s", ""}, Remove: true}, "unknown service s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tab, err := Table{}.WithEdit(sample())
+			is.NoErr(err)
+			c.change.Read = 1
+			next, err := tab.WithEdit(Edit{ID: "x", Changes: []Change{c.change}})
+			if err == nil {
+				_, err = next.Policy()
+			}
+			is.True(gd.Invalid.Is(err))
+			is.True(strings.Contains(gd.Message(err), c.text))
+		})
+	}
+}
+
+func TestRouteTakesLongestPrefix(t *testing.T) {
+	is := is.New(t)
+	e := sample()
+	e.Changes[1].Value = "/s/special /u"
+	tab, err := Table{}.WithEdit(e)
+	is.NoErr(err)
+	p, err := tab.Policy()
+	is.NoErr(err)
+	for path, want := range map[string]string{"/s": "s", "/s/1": "s", "/s/special/1": "u", "/u": "u", "/specials": "", "/sx": ""} {
+		s, ok := p.Route(path)
+		is.Equal(ok, want != "")
+		if ok {
+			is.Equal(s.Name, want)
+		}
+	}
+}
+
+func TestAssembleNeedsEveryChunkUnchanged(t *testing.T) {
+	is := is.New(t)
+	tab, err := Table{}.WithEdit(sample())
+	is.NoErr(err)
+	refs, chunks, err := tab.Encode()
+	is.NoErr(err)
+	h := Head{Version: 1, Refs: refs}
+	got, err := Assemble(h, chunks)
+	is.NoErr(err)
+	is.Equal(got.Document(), tab.Document())
+	for _, r := range refs {
+		whole := chunks[r.Hash]
+		chunks[r.Hash] = append(bytes.Clone(whole), 0)
+		_, err = Assemble(h, chunks)
+		is.True(gd.Invalid.Is(err)) // other content
+		delete(chunks, r.Hash)
+		_, err = Assemble(h, chunks)
+		is.True(gd.NotFound.Is(err)) // missing
+		chunks[r.Hash] = whole
+	}
+}
+
+func TestDocumentsRoundTrip(t *testing.T) {
+	is := is.New(t)
+	tab, err := Table{}.WithEdit(sample())
+	is.NoErr(err)
+	d := tab.Document()
+	var out bytes.Buffer
+	is.NoErr(d.WriteYAML(&out))
+	back, err := ReadYAML(out.Bytes(), "t.yaml")
+	is.NoErr(err)
+	is.Equal(back.Version, uint64(1))
+	is.Equal(len(back.Changes(d, true)), 0)
+	is.NoErr(back.Check("t.yaml"))
+	for _, s := range d.Sheets {
+		out.Reset()
+		is.NoErr(d.WriteCSV(&out, s))
+		back, err = ReadCSV(&out, "t.csv", s)
+		is.NoErr(err)
+		is.Equal(back.Version, uint64(1))
+		is.Equal(len(back.Changes(d, true)), 0)
+	}
+}
+
+func TestBadFilesNameThePlace(t *testing.T) {
+	for name, c := range map[string]struct{ csv, yaml, text string }{
+		"csv value":      {csv: "caller,service,weight\na,s,1\nb,s,none\n", text: `t.csv: line 3: sheet rows, row b/s, column weight: "none" is not`},
+		"csv column":     {csv: "caller,service,wieght\n", text: `t.csv: column "wieght"`},
+		"csv no caller":  {csv: "service,weight\n", text: `column "caller" is missing`},
+		"csv twice":      {csv: "caller,service,weight\na,s,1\na,s,2\n", text: "line 3: sheet rows, row a/s, column weight: set twice"},
+		"csv empty":      {csv: "", text: "no line with the names"},
+		"csv short line": {csv: "caller,service,weight\na,s\n", text: "t.csv: record on line 2"},
+		"yaml key":       {yaml: "rows:\n- caller: a\n  service: s\n  wieght: 1\n", text: "[4:3]"},
+		"yaml value":     {yaml: "rows:\n- caller: a\n  service: s\n  weight: 0\n", text: "t.yaml: sheet rows, row a/s, column weight: 0 is not"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var err error
+			if c.yaml != "" {
+				_, err = ReadYAML([]byte(c.yaml), "t.yaml")
+			} else {
+				_, err = ReadCSV(strings.NewReader(c.csv), "t.csv", Rows)
+			}
+			is.True(gd.Invalid.Is(err))
+			if !strings.Contains(gd.Message(err), c.text) {
+				t.Fatalf("%q lacks %q", gd.Message(err), c.text)
+			}
+		})
+	}
+}
+
+func FuzzReadYAML(f *testing.F) {
+	f.Add([]byte("rows:\n- caller: a\n  service: s\n  weight: 1\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if d, err := ReadYAML(data, "f"); err == nil {
+			d.Check("f")
+		}
+	})
+}
+
+func FuzzReadCSV(f *testing.F) {
+	f.Add("caller,service,weight\na,s,1\n")
+	f.Fuzz(func(t *testing.T, data string) {
+		if d, err := ReadCSV(strings.NewReader(data), "f", Rows); err == nil && len(d.Changes(Document{}, true)) != len(d.Entries) {
+			t.Fatal("an entry without a change")
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	tab, _ := Table{}.WithEdit(sample())
+	refs, chunks, _ := tab.Encode()
+	data, _ := EncodeHead(Head{Version: 1, Refs: refs})
+	f.Add(data, chunks[refs[0].Hash])
+	f.Fuzz(func(t *testing.T, head, chunk []byte) {
+		h, err := DecodeHead(head)
+		if err != nil {
+			return
+		}
+		if tab, err := Assemble(h, Chunks{HashOf(chunk): chunk}); err == nil {
+			tab.Policy()
+		}
+	})
+}
+
+func ExampleTable_WithEdit() {
+	var t Table
+	t, err := t.WithEdit(Edit{ID: "1", Author: "ayse", Changes: []Change{
+		{Key: Key{Services, "tags", "routes"}, Value: "/tags"},
+		{Key: Key{Callers, "app", "token-sha256"}, Value: tokenOf(0)},
+		{Key: RowKey("app", "tags", "weight"), Value: "3"},
+	}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	p, err := t.Policy()
+	fmt.Println(t.Version(), p.Services["tags"].Rows["app"].Weight, err)
+	// Output: 1 3 <nil>
+}
