--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -90,6 +90,7 @@
 		Log:           log,
 		CallsAddress:  s.Listen.Calls,
 		PeersAddress:  s.Listen.Peers,
+		Advertise:     s.Listen.Advertise,
 		OperatorAddr:  s.Listen.Operator,
 		AnnounceAddr:  s.Listen.Announce,
 		OperatorToken: operatorToken,
--- a/link/link.go
+++ b/link/link.go
@@ -24,9 +24,9 @@
 // Bounds of a link.
 const (
 	MaxMessageBytes  = 16 << 20
-	idleTimeout      = 6 * time.Second
-	keepAlive        = 2 * time.Second
-	handshakeTimeout = 3 * time.Second
+	idleTimeout      = 4 * time.Second
+	keepAlive        = 1500 * time.Millisecond
+	handshakeTimeout = time.Second
 	sendTimeout      = 5 * time.Second
 	headerBytes      = 4
 )
--- a/node/control.go
+++ b/node/control.go
@@ -18,7 +18,8 @@
 const (
 	eventBuffer = 256
 	tickEvery   = 100 * time.Millisecond
-	askPatience = 5 * time.Second // an ask for shares without an answer is repeated
+	avoidFailed = 30 * time.Second // a relay that was not reached is tried last this long
+	askPatience = 5 * time.Second  // an ask for shares without an answer is repeated
 )
 
 // control is the node's control state. One goroutine owns it; others reach it
@@ -28,9 +29,9 @@
 	rnd      *rand.Rand
 	follower *relay.Follower
 
-	up     *peerLink // to the relay that the node follows
-	upSeat relay.Seat
-	seats  []relay.Seat // relays known, newest source first
+	up     *peerLink             // to the relay that the node follows
+	seats  []relay.Seat          // relays known
+	failed map[string]clock.Time // addresses of relays that were not reached, by when
 
 	seat  *seat // the seat that the node holds or stands for
 	hub   *relay.Hub
@@ -68,6 +69,7 @@
 		n:        n,
 		rnd:      n.random(1),
 		follower: relay.NewFollower(n.name, n.cfg.DataCentre, n.incarnation),
+		failed:   map[string]clock.Time{},
 		links:    map[string]*peerLink{},
 		peers:    map[string]*peerLink{},
 		statuses: map[uint64]chan *relay.StatusReply{},
@@ -151,6 +153,7 @@
 		c.catchUp()
 	}
 	c.stepSeat(ctx)
+	c.goHome()
 	c.ask()
 }
 
@@ -218,21 +221,36 @@
 	}
 }
 
-// takeSeats notes the relays, and leaves a relay that is none any more or that
-// stands in for those of the own data centre.
+// takeSeats notes the relays, and leaves one that is none any more.
 func (c *control) takeSeats(l *peerLink, s *relay.Seats) {
 	if len(s.Seats) > 0 {
 		c.seats = s.Seats
 	}
-	away := c.upSeat.DataCentre != c.n.cfg.DataCentre && c.hasSeatHere()
-	if s.Redirect || away {
-		c.n.log.Info("relay left", "relay", l.name, "redirected", s.Redirect)
+	if s.Redirect {
+		c.n.log.Info("relay left: it is none any more", "relay", l.name)
 		l.close()
 	}
 }
 
-func (c *control) hasSeatHere() bool {
-	return slices.ContainsFunc(c.seats, func(s relay.Seat) bool { return s.DataCentre == c.n.cfg.DataCentre })
+// goHome leaves a relay of another data centre once the own one has a relay
+// that may be reached.
+func (c *control) goHome() {
+	if c.up == nil {
+		return
+	}
+	here := c.n.cfg.DataCentre
+	away := slices.ContainsFunc(c.seats, func(s relay.Seat) bool { return s.Node == c.up.name && s.DataCentre != here })
+	home := slices.ContainsFunc(c.seats, func(s relay.Seat) bool { return s.DataCentre == here && !c.unreachable(s) })
+	if away && home {
+		c.n.log.Info("relay left: the own data centre has one", "relay", c.up.name)
+		c.up.close()
+	}
+}
+
+// unreachable reports whether a link to the relay failed a short time ago.
+func (c *control) unreachable(s relay.Seat) bool {
+	at, ok := c.failed[s.Address]
+	return ok && c.now().Sub(at) < avoidFailed
 }
 
 // toRelay sends a message of the node's own to its relay.
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -33,8 +33,6 @@
 
 // serveCaller takes a caller's call.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	n.calls.Add(1)
-	defer n.calls.Done()
 	c, row, err := n.accept(r)
 	if err != nil {
 		n.refuseCall(w, r, c, err)
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	Log           hclog.Logger
 	CallsAddress  string   // where callers connect
 	PeersAddress  string   // where other nodes connect, over TCP and UDP
+	Advertise     string   // PeersAddress as other nodes reach it, if it differs
 	OperatorAddr  string   // operators' API and metrics
 	AnnounceAddr  string   // where the backend server announces itself
 	OperatorToken string   // asked for at OperatorAddr unless empty
@@ -66,7 +67,7 @@
 	budgets  budgets
 	counters *counters
 	editor   *table.Editor
-	calls    sync.WaitGroup // callers' calls in flight
+	servers  struct{ calls, peers, operator, announce *http.Server }
 
 	cancel  context.CancelFunc
 	stopped chan struct{} // the control goroutine has ended
@@ -104,6 +105,10 @@
 	n.station = newStation(n)
 	n.control = newControl(n)
 	n.publish(n.control)
+	n.servers.calls = n.newCallsServer()
+	n.servers.peers = n.newPeersServer()
+	n.servers.operator = n.newOperatorServer()
+	n.servers.announce = n.newAnnounceServer()
 	return n, nil
 }
 
@@ -178,6 +183,13 @@
 // PeersAddress returns where other nodes connect.
 func (n *Node) PeersAddress() string { return n.peersListener.Addr().String() }
 
+func (n *Node) advertised() string {
+	if n.cfg.Advertise != "" {
+		return n.cfg.Advertise
+	}
+	return n.PeersAddress()
+}
+
 // Start makes the node serve. It returns at once.
 func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -188,10 +200,10 @@
 	root.Add(service{"uplink", n.runUplink})
 	root.Add(service{"start", n.learnVersion})
 	root.Add(service{"station", n.station.run})
-	root.Add(n.httpService("calls", n.callsListener, n.newCallsServer()))
-	root.Add(n.httpService("peers", n.peersListener, n.newPeersServer()))
-	root.Add(n.httpService("operator", n.operatorListener, n.newOperatorServer()))
-	root.Add(n.httpService("announce", n.announceListener, n.newAnnounceServer()))
+	root.Add(n.httpService("calls", n.callsListener, n.servers.calls))
+	root.Add(n.httpService("peers", n.peersListener, n.servers.peers))
+	root.Add(n.httpService("operator", n.operatorListener, n.servers.operator))
+	root.Add(n.httpService("announce", n.announceListener, n.servers.announce))
 	go func() {
 		defer close(n.done)
 		if err := root.Serve(ctx); err != nil && ctx.Err() == nil {
@@ -223,7 +235,7 @@
 		stop := context.AfterFunc(ctx, func() { s.Close() })
 		defer stop()
 		err := serveHTTP(s, l)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 			return suture.ErrDoNotRestart
 		}
 		return gd.Internal.Wrapf(err, "listener %s", name)
@@ -248,8 +260,7 @@
 	n.log.Info("closing")
 	n.station.drain()
 	n.post(func(c *control) { c.leave() })
-	n.callsListener.Close()
-	n.awaitCalls()
+	n.finishCalls()
 	n.post(func(c *control) { c.release() })
 	n.cancel()
 	<-n.done
@@ -259,21 +270,15 @@
 	n.log.Info("closed")
 }
 
-// awaitCalls waits for the callers' calls and for those that run on the own
-// server.
-func (n *Node) awaitCalls() {
-	idle := make(chan struct{})
-	go func() {
-		n.calls.Wait()
-		n.station.calls.Wait()
-		close(idle)
-	}()
-	timeout := time.NewTimer(n.cfg.DrainWait)
-	defer timeout.Stop()
-	select {
-	case <-idle:
-	case <-timeout.C:
-		n.log.Warn("calls were still in flight when the drain time ended")
+// finishCalls stops taking calls and waits until those in flight are answered,
+// the callers' first and then those that other nodes sent.
+func (n *Node) finishCalls() {
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainWait)
+	defer cancel()
+	for _, s := range []*http.Server{n.servers.calls, n.servers.peers} {
+		if err := s.Shutdown(ctx); err != nil {
+			n.log.Warn("calls were still in flight when the drain time ended", "error", err)
+		}
 	}
 }
 
--- a/node/role.go
+++ b/node/role.go
@@ -25,6 +25,8 @@
 const (
 	watchWait    = 5 * time.Second // a watch is renewed, and doubled by a read, this often
 	listEvery    = 5 * time.Second
+	listFirst    = 500 * time.Millisecond // a relay that just began lists the others more often
+	listFirsts   = 6
 	seatGrace    = 20 * time.Second // an expired seat is still listed this long
 	allotTries   = 6
 	watchPause   = 500 * time.Millisecond
@@ -62,7 +64,7 @@
 		return
 	}
 	c.n.log.Info("standing for relay", "seat", index)
-	c.seat = &seat{index: index, lease: lease.New(c.n.name, c.n.PeersAddress(), c.n.cfg.DataCentre)}
+	c.seat = &seat{index: index, lease: lease.New(c.n.name, c.n.advertised(), c.n.cfg.DataCentre)}
 }
 
 // stepSeat does the next step of the candidacy.
@@ -133,6 +135,7 @@
 	c.hub = relay.NewHub(c.n.name, c.n.cfg.DataCentre, c.n.cfg.Gather, c.n.random(3))
 	head, chunks := c.follower.Head()
 	c.hub.SetHead(c.now(), head, chunks)
+	c.hub.Adopt(c.now(), c.follower.Directory(), c.follower.Register())
 	if c.up != nil {
 		c.up.close()
 		c.up = nil
@@ -238,12 +241,16 @@
 	links := map[relay.Seat]context.CancelFunc{}
 	var running sync.WaitGroup
 	defer running.Wait()
-	for ctx.Err() == nil {
+	for i := 0; ctx.Err() == nil; i++ {
 		if seats, err := n.listSeats(ctx); err == nil {
 			n.post(func(c *control) { c.setSeats(seats) })
 			n.linkRelays(ctx, seats, links, &running)
 		}
-		sleep(ctx, listEvery)
+		if i < listFirsts {
+			sleep(ctx, listFirst)
+		} else {
+			sleep(ctx, listEvery)
+		}
 	}
 }
 
--- a/node/station.go
+++ b/node/station.go
@@ -25,8 +25,9 @@
 	announceTerm    = 5 * time.Second // a server that does not repeat its announcement in time is gone
 	stationTick     = 50 * time.Millisecond
 	dialTimeout     = time.Second
-	oldServer       = 2 * time.Second // a server this much older than the node may still run earlier calls
-	startSlotsShare = 3               // the node starts with 1/3 of such a server's slots
+	cancelGrace     = 50 * time.Millisecond // how long a server takes to stop a call that was cancelled
+	oldServer       = 2 * time.Second       // a server this much older than the node may still run earlier calls
+	startSlotsShare = 3                     // the node starts with 1/3 of such a server's slots
 )
 
 // station runs calls on the backend server beside the node. It alone talks to
@@ -141,7 +142,7 @@
 	return server.Record{
 		Service:   a.Service,
 		Region:    s.n.cfg.Region,
-		Address:   s.n.PeersAddress(),
+		Address:   s.n.advertised(),
 		Slots:     a.Slots,
 		Started:   a.Started,
 		State:     state,
@@ -240,6 +241,7 @@
 }
 
 func (s *station) close() {
+	s.calls.Wait()
 	s.claims.Close()
 	s.client.CloseIdleConnections()
 }
@@ -264,7 +266,7 @@
 		s.leave(c)
 		return nil, err
 	}
-	res.Body = &tracked{ReadCloser: res.Body, done: func() { s.leave(c) }}
+	res.Body = &tracked{ReadCloser: res.Body, done: func(bool) { s.leave(c) }}
 	return res, nil
 }
 
@@ -423,6 +425,16 @@
 	s.start()
 }
 
+// freeLater frees the slot of a call that was cancelled. The server learns of
+// it from the closed connection and needs a moment to stop.
+func (s *station) freeLater(id uint64) {
+	s.calls.Add(1)
+	time.AfterFunc(cancelGrace, func() {
+		s.free(id)
+		s.calls.Done()
+	})
+}
+
 // exchange sends the call to the server and returns its answer.
 func (s *station) exchange(ctx context.Context, c *call, id uint64) (*http.Response, error) {
 	s.mu.Lock()
@@ -435,7 +447,7 @@
 	}
 	stripHeaders(res.Header)
 	res.Header.Set(loadHeader, formatLoad(s.load()))
-	res.Body = &tracked{ReadCloser: res.Body, broken: func() { s.checkCrash(id) }, done: func() { s.succeeded(id, c.fingerprint) }}
+	res.Body = &tracked{ReadCloser: res.Body, broken: func() { s.checkCrash(id) }, done: func(whole bool) { s.ended(id, c.fingerprint, whole) }}
 	return res, nil
 }
 
@@ -462,11 +474,12 @@
 		s.free(id)
 		return gd.Draining.Errorf("the server beside node %s does not take connections", s.n.name)
 	}
-	s.checkCrash(id)
-	s.free(id)
 	if ctx.Err() != nil {
+		s.freeLater(id)
 		return gd.TimedOut.Errorf("the call ended before the server answered")
 	}
+	s.checkCrash(id)
+	s.free(id)
 	return gd.Unknown.Errorf("the server's connection failed before it answered")
 }
 
@@ -521,8 +534,12 @@
 	return reports
 }
 
-// succeeded frees the slot of a call that the server answered to the end.
-func (s *station) succeeded(id uint64, fp quarantine.Fingerprint) {
+// ended frees the slot of a call that the server answered, whole or not.
+func (s *station) ended(id uint64, fp quarantine.Fingerprint, whole bool) {
+	if !whole {
+		s.freeLater(id)
+		return
+	}
 	s.mu.Lock()
 	if s.alone[id] && s.fresh() {
 		s.cleared[fp] = s.n.cfg.Clock.Now()
@@ -545,12 +562,16 @@
 type tracked struct {
 	io.ReadCloser
 	broken func()
-	done   func()
+	done   func(whole bool)
+	whole  bool
 	once   sync.Once
 }
 
 func (t *tracked) Read(p []byte) (int, error) {
 	n, err := t.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		t.whole = true
+	}
 	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, context.Canceled) && t.broken != nil {
 		t.broken()
 	}
@@ -559,6 +580,6 @@
 
 func (t *tracked) Close() error {
 	err := t.ReadCloser.Close()
-	t.once.Do(t.done)
+	t.once.Do(func() { t.done(t.whole) })
 	return err
 }
--- a/node/uplink.go
+++ b/node/uplink.go
@@ -152,12 +152,22 @@
 		return
 	}
 	seats, _ := query(ctx, n, (*control).relaysToTry)
+	if n.followAny(ctx, seats) || n.discover(ctx) {
+		return
+	}
+	last, _ := query(ctx, n, (*control).lastResorts)
+	n.followAny(ctx, last)
+}
+
+// followAny follows the first of the relays that can be reached, and reports
+// whether there was one.
+func (n *Node) followAny(ctx context.Context, seats []relay.Seat) bool {
 	for _, s := range seats {
 		if ctx.Err() != nil || n.followRelay(ctx, s) {
-			return
+			return true
 		}
 	}
-	n.discover(ctx)
+	return false
 }
 
 func (n *Node) waitWhileRelay(ctx context.Context) {
@@ -169,13 +179,13 @@
 	}
 }
 
-// relaysToTry returns the relays of the own data centre in random order, then
-// the others, then the seeds.
+// relaysToTry returns the relays that did not fail a short time ago: those of
+// the own data centre in random order, then the others.
 func (c *control) relaysToTry() []relay.Seat {
 	var here, away []relay.Seat
 	for _, s := range c.seats {
 		switch {
-		case s.Node == c.n.name:
+		case s.Node == c.n.name, c.unreachable(s):
 		case s.DataCentre == c.n.cfg.DataCentre:
 			here = append(here, s)
 		default:
@@ -185,10 +195,17 @@
 	for _, seats := range [][]relay.Seat{here, away} {
 		c.rnd.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
 	}
+	return append(here, away...)
+}
+
+// lastResorts returns what is left to try while the platform does not answer:
+// the seeds, and the relays that failed.
+func (c *control) lastResorts() []relay.Seat {
+	var list []relay.Seat
 	for _, address := range c.n.cfg.Seeds {
-		away = append(away, relay.Seat{Address: address})
+		list = append(list, relay.Seat{Address: address})
 	}
-	return append(here, away...)
+	return append(list, c.seats...)
 }
 
 // followRelay links to the relay and follows it until the link ends. It
@@ -197,11 +214,12 @@
 	conn, err := n.endpoint.Dial(ctx, s.Address)
 	if err != nil {
 		n.log.Debug("relay not reached", "relay", s.Node, "address", s.Address, "error", err)
+		n.post(func(c *control) { c.failed[s.Address] = c.now() })
 		return false
 	}
 	l := newPeerLink(conn.Peer(), conn)
 	n.log.Info("relay chosen", "relay", l.name, "data-centre", s.DataCentre, "address", s.Address)
-	n.post(func(c *control) { c.linkUp(l, s) })
+	n.post(func(c *control) { c.linkUp(l) })
 	l.read(func(m relay.Message) {
 		n.post(func(c *control) { c.fromUplink(l, m) })
 	})
@@ -209,12 +227,12 @@
 	return true
 }
 
-func (c *control) linkUp(l *peerLink, s relay.Seat) {
+func (c *control) linkUp(l *peerLink) {
 	if c.hub != nil {
 		l.close()
 		return
 	}
-	c.up, c.upSeat = l, s
+	c.up = l
 	l.send(c.follower.Hello())
 }
 
@@ -224,7 +242,11 @@
 	}
 	c.n.log.Info("link to relay lost", "relay", l.name)
 	c.up = nil
-	c.seats = withoutNode(c.seats, l.name)
+	for _, s := range c.seats {
+		if s.Node == l.name {
+			c.failed[s.Address] = c.now()
+		}
+	}
 }
 
 func withoutNode(seats []relay.Seat, node string) []relay.Seat {
@@ -238,12 +260,12 @@
 }
 
 // discover reads the relays from the platform and stands for a vacant seat of
-// the own data centre.
-func (n *Node) discover(ctx context.Context) {
+// the own data centre. It reports whether the platform answered.
+func (n *Node) discover(ctx context.Context) bool {
 	seats, err := n.listSeats(ctx)
 	if err != nil {
 		n.log.Warn("no relay reached and the platform does not answer", "error", err)
-		return
+		return false
 	}
 	n.post(func(c *control) {
 		c.seats = seats
@@ -251,6 +273,7 @@
 			c.stand(i)
 		}
 	})
+	return true
 }
 
 func vacantSeat(seats []relay.Seat, dataCentre string) (int, bool) {
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -16,8 +16,8 @@
 // Terms of a hub.
 const (
 	statusWait  = time.Second
-	lostAfter   = 3 * time.Second  // a node without a link is lost after this
-	orphanAfter = 8 * time.Second  // nodes of a silent relay have this long to link elsewhere
+	lostAfter   = 2 * time.Second  // a node without a link is lost after this
+	orphanAfter = 4 * time.Second  // nodes of a silent relay have this long to link elsewhere
 	catchUp     = time.Second      // how long the platform's watch may lag behind another relay
 	inviteEvery = 5 * time.Second  // between invitations to a vacant seat
 	SeatsPerDC  = 2                // relays per data centre
@@ -96,6 +96,22 @@
 	}
 }
 
+// Adopt gives a new hub the servers and crash reports that its node knows. The
+// nodes of a data centre that no other relay vouches for have a while to link
+// here before their servers are lost.
+func (h *Hub) Adopt(now clock.Time, d server.Directory, g quarantine.Register) {
+	h.directory, h.register = d, g
+	for _, r := range d.Records() {
+		h.orphaned[adopted+r.DataCentre] = orphan{r.DataCentre, now}
+		if r.State >= server.Lost {
+			h.departed[r.Node] = now
+		}
+	}
+}
+
+// adopted marks orphans of a data centre as a whole; no node is named so.
+const adopted = "/"
+
 // Version returns the version that the hub distributes.
 func (h *Hub) Version() uint64 { return h.head.Version }
 
@@ -421,10 +437,9 @@
 }
 
 // orphans returns the nodes of the data centre that are not linked here, when
-// it falls to this relay to vouch for them: in its own data centre, or in one
-// whose relays are all silent.
+// no other relay there vouches for them.
 func (h *Hub) orphans(dataCentre string) []string {
-	if dataCentre != h.dataCentre && h.hasRelayLink(dataCentre) {
+	if h.hasRelayLink(dataCentre) {
 		return nil
 	}
 	var nodes []string
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,10 +36,12 @@
 
 // Listen are the node's addresses.
 type Listen struct {
-	Calls    string `yaml:"calls"`
-	Peers    string `yaml:"peers"`
-	Operator string `yaml:"operator"`
-	Announce string `yaml:"announce"`
+	Calls string `yaml:"calls"`
+	Peers string `yaml:"peers"`
+	// Advertise is the peers' address as other nodes reach it, if it differs.
+	Advertise string `yaml:"advertise"`
+	Operator  string `yaml:"operator"`
+	Announce  string `yaml:"announce"`
 }
 
 // Tokens are files that hold the tokens asked for at an address.
