--- a/link/link.go
+++ b/link/link.go
@@ -100,6 +100,47 @@
 	id       identity.Identity
 	local    *quic.Transport
 	listener *quic.Listener
+
+	mu    sync.Mutex
+	live  map[*quic.Conn]bool
+	ended Traffic
+}
+
+// datagramHeader is the length of the IPv4 and UDP headers of a packet.
+const datagramHeader = 28
+
+// Traffic counts what went over links, in bytes with all headers from IP up.
+type Traffic struct {
+	Sent, Received uint64
+}
+
+func (t *Traffic) add(s quic.ConnectionStats) {
+	t.Sent += s.BytesSent + datagramHeader*s.PacketsSent
+	t.Received += s.BytesReceived + datagramHeader*s.PacketsReceived
+}
+
+// Traffic returns what went over all links of the endpoint so far.
+func (e *Endpoint) Traffic() Traffic {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := e.ended
+	for c := range e.live {
+		sum.add(c.ConnectionStats())
+	}
+	return sum
+}
+
+// track counts the connection's traffic until and after its end.
+func (e *Endpoint) track(c *quic.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.live[c] = true
+	context.AfterFunc(c.Context(), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.live, c)
+		e.ended.add(c.ConnectionStats())
+	})
 }
 
 // Listen returns an endpoint on the UDP socket, which it owns from then on.
@@ -109,7 +150,7 @@
 	if err != nil {
 		return nil, gd.Unavailable.Wrapf(err, "control address %s", socket.LocalAddr())
 	}
-	return &Endpoint{id, local, l}, nil
+	return &Endpoint{id: id, local: local, listener: l, live: map[*quic.Conn]bool{}}, nil
 }
 
 // Dial opens a link to address.
@@ -122,6 +163,7 @@
 	if err != nil {
 		return nil, gd.Unavailable.Wrapf(err, "link to %s", address)
 	}
+	e.track(c.conn)
 	return c, nil
 }
 
@@ -150,6 +192,7 @@
 		if err != nil {
 			return gd.Unavailable.Wrapf(err, "accept link")
 		}
+		e.track(conn)
 		handlers.Go(func() {
 			if c := e.open(ctx, conn); c != nil {
 				handle(c)
--- a/node/counters.go
+++ b/node/counters.go
@@ -12,9 +12,14 @@
 // come from the table, which bounds their number.
 type counters struct{ calls *expvar.Map }
 
-func newCounters(node string) *counters {
+func newCounters(n *Node) *counters {
 	c := &counters{calls: new(expvar.Map).Init()}
-	root().Set(node, c.calls)
+	all := new(expvar.Map).Init()
+	all.Set("calls", c.calls)
+	all.Set("table-version", expvar.Func(func() any { return n.Version() }))
+	all.Set("control-bytes-sent", expvar.Func(func() any { return n.ControlTraffic().Sent }))
+	all.Set("control-bytes-received", expvar.Func(func() any { return n.ControlTraffic().Received }))
+	root().Set(n.name, all)
 	return c
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -90,11 +90,11 @@
 		name:        cfg.Identity.Node(),
 		incarnation: uint64(cfg.Clock.Now()),
 		events:      make(chan func(*control), eventBuffer),
-		counters:    newCounters(cfg.Identity.Node()),
 		editor:      table.NewEditor(cfg.Store),
 		stopped:     make(chan struct{}),
 		done:        make(chan struct{}),
 	}
+	n.counters = newCounters(n)
 	n.log = cfg.Log.With("node", n.name)
 	n.chooser.init(server.Place{DataCentre: cfg.DataCentre, Region: cfg.Region}, cfg.Seed)
 	n.peers = newPeerTransport(cfg.Identity)
--- a/node/view.go
+++ b/node/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/geraniumdock/geraniumdock/link"
 	"github.com/geraniumdock/geraniumdock/relay"
 )
 
@@ -54,3 +55,6 @@
 	leads, ok := query(ctx, n, func(c *control) bool { return c.hub != nil })
 	return ok && leads
 }
+
+// ControlTraffic returns what the node sent and received over control links.
+func (n *Node) ControlTraffic() link.Traffic { return n.endpoint.Traffic() }
