Users' incidents against a naive proxy, damaged input, restore of a lost table

Each incident (doubled engraving, cut artwork, lost release, starved lookup) happens with a naive proxy and not with the product, in the same test. A store that lost the table is noticed before an edit is taken (accepted there, it would never come into force); table restore puts the table in force back. Found: durations in settings were refused without naming the key.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -15,6 +15,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/mutate"
 	"github.com/geraniumdock/geraniumdock/platform"
 )
 
@@ -207,11 +208,24 @@
 	p, _, _ := Partition{}.WithClaims(0, []Entry{{Key: KeyOf("s", "a", "k")}})
 	data, _ := p.Encode()
 	f.Add(data)
-	f.Fuzz(func(t *testing.T, data []byte) {
-		if p, err := Decode(data); err == nil {
-			p.WithClaims(0, []Entry{{Key: KeyOf("s", "a", "k")}})
-		}
-	})
+	f.Fuzz(func(_ *testing.T, data []byte) { takeAnything(data) })
+}
+
+func takeAnything(data []byte) {
+	if p, err := Decode(data); err == nil {
+		p.WithClaims(0, []Entry{{Key: KeyOf("s", "a", "k")}})
+	}
+}
+
+func TestDamagedClaims(t *testing.T) {
+	p, _, _ := Partition{}.WithClaims(0, []Entry{{Key: KeyOf("s", "a", "k")}})
+	data, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for copied := range mutate.Copies(data, 2000) {
+		takeAnything(copied)
+	}
 }
 
 func ExamplePartition() {
--- a/cmd/geraniumdock/main.go
+++ b/cmd/geraniumdock/main.go
@@ -84,6 +84,7 @@
 		{"get", "print the table", "Prints the table as text, CSV (one sheet) or YAML (all sheets).", &getCommand{}},
 		{"set", "set cells", "Sets cells of one row: table set CALLER SERVICE COLUMN=VALUE...", &setCommand{}},
 		{"apply", "apply a file", "Sets the cells of a CSV or YAML file that differ from the table.", &applyCommand{}},
+		{"restore", "put back a table that the platform lost", "Commits the table in force at the node again. It is refused unless the platform holds an older one.", &restoreCommand{}},
 		{"history", "list the versions", "Lists the versions of the table with author, time and cells.", &historyCommand{}},
 	})
 }
--- a/cmd/geraniumdock/operator.go
+++ b/cmd/geraniumdock/operator.go
@@ -285,6 +285,21 @@
 	return table.ReadYAML(data, file)
 }
 
+type restoreCommand struct{ editOptions }
+
+// Execute has the node commit the table in force there again.
+func (c *restoreCommand) Execute([]string) error {
+	var receipt struct {
+		Version uint64 `json:"version"`
+	}
+	e := wireEdit{ID: c.id(), Author: c.author()}
+	if err := c.call(http.MethodPost, "/v1/restore", e, &receipt); err != nil || c.JSON {
+		return err
+	}
+	fmt.Printf("restored as version %d\n", receipt.Version)
+	return nil
+}
+
 type historyCommand struct{ operator }
 
 // Execute lists the versions.
--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -222,6 +222,7 @@
 
 type standInCommand struct {
 	Listen string `long:"listen" value-name:"HOST:PORT" default:"127.0.0.1:9000" description:"address to serve at"`
+	Data   string `long:"data" value-name:"FILE" description:"file to load the objects from and to save them to at the end"`
 }
 
 // Execute serves the stand-in until a signal.
@@ -232,13 +233,47 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	s := &http.Server{Handler: platform.NewHandler(platform.NewMemory())}
+	m := platform.NewMemory()
+	if err := c.load(m); err != nil {
+		return err
+	}
+	s := &http.Server{Handler: platform.NewHandler(m)}
 	context.AfterFunc(ctx, func() { s.Close() })
 	fmt.Fprintf(os.Stderr, "stand-in for the platform at http://%s, in memory\n", l.Addr())
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return gd.Internal.Wrapf(err, "stand-in")
 	}
-	return nil
+	return c.save(m)
+}
+
+func (c *standInCommand) load(m *platform.Memory) error {
+	if c.Data == "" {
+		return nil
+	}
+	f, err := os.Open(c.Data)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return gd.Invalid.Wrapf(err, "--data")
+	}
+	defer f.Close()
+	return platform.Restore(m, f)
+}
+
+func (c *standInCommand) save(m *platform.Memory) error {
+	if c.Data == "" {
+		return nil
+	}
+	f, err := os.Create(c.Data)
+	if err != nil {
+		return gd.Invalid.Wrapf(err, "--data")
+	}
+	if err := platform.Save(m, f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
 }
 
 type tokenCommand struct{}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,6 +13,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/mutate"
 	"github.com/geraniumdock/geraniumdock/platform"
 )
 
@@ -123,6 +124,27 @@
 	is.True(a.lease.Held(now))
 }
 
+func FuzzDecode(f *testing.F) {
+	data, _ := Record{Holder: "n"}.Encode()
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { takeAnything(data) })
+}
+
+func takeAnything(data []byte) {
+	l := New("n", "n:1", "dc").WithRead(0, gd.Object{Revision: 1, Value: data})
+	l.Next(0)
+}
+
+func TestDamagedLeases(t *testing.T) {
+	data, err := Record{Holder: "n"}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for copied := range mutate.Copies(data, 2000) {
+		takeAnything(copied)
+	}
+}
+
 func ExampleLease() {
 	l := New("node-1", "10.0.0.1:8443", "ist-a").WithRead(0, gd.Object{})
 	step := l.Next(0)
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -11,6 +11,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/mutate"
 )
 
 func init() {
@@ -199,15 +200,29 @@
 	pool, _ := Pool{}.WithAsks(0, Asker{"n", 1, 1}, []Ask{{Key: callsAtOnce, Demand: 1}}, map[Key]int64{callsAtOnce: 2})
 	data, _ := pool.Encode()
 	f.Add(data)
-	f.Fuzz(func(t *testing.T, data []byte) {
-		p, err := Decode(data)
-		if err != nil {
-			return
-		}
-		if _, err := p.Encode(); err != nil {
-			t.Fatal(err)
-		}
-	})
+	f.Fuzz(func(t *testing.T, data []byte) { takeAnything(t, data) })
+}
+
+func takeAnything(t testing.TB, data []byte) {
+	p, err := Decode(data)
+	if err != nil {
+		return
+	}
+	if _, err := p.Encode(); err != nil {
+		t.Fatal(err)
+	}
+	p.WithAsks(0, Asker{"n", 1, 1}, []Ask{{Key: callsAtOnce, Demand: 1}}, map[Key]int64{callsAtOnce: 2})
+}
+
+func TestDamagedPools(t *testing.T) {
+	pool, _ := Pool{}.WithAsks(0, Asker{"n", 1, 1}, []Ask{{Key: callsAtOnce, Demand: 1}}, map[Key]int64{callsAtOnce: 2})
+	data, err := pool.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for copied := range mutate.Copies(data, 2000) {
+		takeAnything(t, copied)
+	}
 }
 
 func ExamplePool() {
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,93 @@
+package link
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/geraniumdock/geraniumdock/identity"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func endpoint(t *testing.T, a *identity.Authority, name string) *Endpoint {
+	t.Helper()
+	id, err := a.Identity(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Listen(socket, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.Close() })
+	return e
+}
+
+func authority(t *testing.T) *identity.Authority {
+	t.Helper()
+	a, err := identity.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestMessagesPassAndNamesAreKnown(t *testing.T) {
+	is := is.New(t)
+	a := authority(t)
+	one, two := endpoint(t, a, "one"), endpoint(t, a, "two")
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		two.Serve(ctx, func(c *Conn) {
+			defer c.Close()
+			is.Equal(c.Peer(), "one")
+			for {
+				data, err := c.Receive()
+				if err != nil || c.Send(data) != nil {
+					return
+				}
+			}
+		})
+	}()
+	c, err := one.Dial(ctx, two.local.Conn.LocalAddr().String())
+	is.NoErr(err)
+	is.Equal(c.Peer(), "two")
+	for _, n := range []int{0, 1, 100_000} {
+		is.NoErr(c.Send(make([]byte, n)))
+		back, err := c.Receive()
+		is.NoErr(err)
+		is.Equal(len(back), n)
+	}
+	is.True(one.Traffic().Sent > 100_000)
+	is.True(c.Send(make([]byte, MaxMessageBytes+1)) != nil)
+	c.Close()
+	cancel()
+	<-served
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	is := is.New(t)
+	one, stranger := endpoint(t, authority(t), "one"), endpoint(t, authority(t), "one")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		one.Serve(ctx, func(*Conn) { t.Error("a stranger got a link") })
+	}()
+	_, err := stranger.Dial(ctx, one.local.Conn.LocalAddr().String())
+	is.True(err != nil)
+	cancel()
+	<-served
+}
--- a/node/control.go
+++ b/node/control.go
@@ -44,17 +44,12 @@
 	statuses   map[uint64]chan *relay.StatusReply
 	lastStatus uint64
 	published  published
+	expireAt   clock.Time
 }
 
 // published tells which state the snapshot shows.
 type published struct {
-	directory uint64
-	reports   int
-	done      bool
-}
-
-func (p published) is(d server.Directory, g quarantine.Register) bool {
-	return p.done && p.directory == d.Digest() && p.reports == len(g.Reports())
+	directory, register uint64
 }
 
 // seat is a candidacy for a relay's lease.
@@ -134,10 +129,11 @@
 	old := n.snapshot.Load()
 	d := c.follower.Directory()
 	next := &snapshot{policy: c.follower.Policy(), register: c.follower.Register()}
-	if old != nil && old.policy == next.policy && c.published.is(d, next.register) {
+	shown := published{d.Generation(), next.register.Generation()}
+	if old != nil && old.policy == next.policy && c.published == shown {
 		return
 	}
-	c.published = published{d.Digest(), len(next.register.Reports()), true}
+	c.published = shown
 	next.serving = d.Serving()
 	n.snapshot.Store(next)
 	n.chooser.retain(d)
@@ -153,10 +149,22 @@
 		c.catchUp()
 	}
 	c.stepSeat(ctx)
+	c.expireReports()
 	c.goHome()
 	c.ask()
 }
 
+// expireReports drops old crash reports now and then.
+func (c *control) expireReports() {
+	if c.now() < c.expireAt {
+		return
+	}
+	c.expireAt = c.now().Add(expireEvery)
+	c.follower.Expire(c.now())
+}
+
+const expireEvery = 10 * time.Second
+
 // catchUp asks other relays for versions that the platform did not deliver.
 func (c *control) catchUp() {
 	for _, name := range c.hub.Lagging(c.now()) {
--- /dev/null
+++ b/node/incident_test.go
@@ -0,0 +1,215 @@
+package node_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/demo"
+)
+
+// naive is the proxy that the incidents are compared with: round robin, three
+// attempts on any failure, and an answer that breaks off is passed on as if it
+// were whole.
+type naive struct {
+	backends []*demo.Backend
+	next     atomic.Int64
+	client   http.Client
+}
+
+func (p *naive) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	for range 3 {
+		b := p.backends[int(p.next.Add(1))%len(p.backends)]
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+b.Address()+r.URL.Path, bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		req.Header = r.Header.Clone()
+		res, err := p.client.Do(req)
+		if err != nil {
+			continue
+		}
+		data, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		w.WriteHeader(res.StatusCode)
+		w.Write(data)
+		return
+	}
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// front returns the address of the product's or the naive proxy's ingress to
+// the mesh's servers.
+func (x *mesh) front(product bool) string {
+	if product {
+		return x.Nodes[0].CallsAddress()
+	}
+	p := &naive{backends: x.backends}
+	s := &http.Server{Handler: p}
+	l := listen(x.t)
+	var done sync.WaitGroup
+	done.Go(func() { s.Serve(l) })
+	x.t.Cleanup(func() {
+		s.Close()
+		done.Wait()
+		p.client.CloseIdleConnections()
+	})
+	return l.Addr().String()
+}
+
+// incident is a failure of the users' past. It returns whether it happened
+// again.
+type incident func(x *mesh, address string) bool
+
+func (x *mesh) send(address, method, id string, body io.Reader) reply {
+	req := x.request(x.Nodes[0], method, id, body)
+	req.URL.Host = address
+	return x.do(nil, req)
+}
+
+// doubledEngraving: the server runs the order and its connection fails before
+// the answer.
+func doubledEngraving(x *mesh, address string) bool {
+	x.send(address, http.MethodPost, "engraving", strings.NewReader("order"))
+	return x.runs()["engraving"] > 1
+}
+
+// cutArtwork: the answer breaks off; the client must not take it for whole.
+func cutArtwork(x *mesh, address string) bool {
+	r := x.send(address, http.MethodGet, "artwork", nil)
+	return r.err == nil && r.status == http.StatusOK
+}
+
+// lostRelease: the only server is gone when the release comes, and the answer
+// must tell that it did not run.
+func lostRelease(x *mesh, address string) bool {
+	for _, b := range x.backends {
+		b.Crash()
+	}
+	r := x.send(address, http.MethodPost, "release", nil)
+	return r.outcome != "not-run"
+}
+
+// starvedLookup: uploads hold every slot when a lookup comes.
+func starvedLookup(x *mesh, address string) bool {
+	upload := func(id string) {
+		req := x.request(x.Nodes[0], http.MethodPost, id, strings.NewReader("map"))
+		req.URL.Host = address
+		req.Header.Set("Proxy-Authorization", "Bearer venue-token")
+		x.do(nil, req)
+	}
+	x.send(address, http.MethodGet, "lookup-first", nil)
+	upload("upload-first") // from here on its slot time is known
+	var all sync.WaitGroup
+	for i := range 24 {
+		all.Go(func() { upload(fmt.Sprint("upload", i)) })
+	}
+	x.await("uploads run", func() bool { return x.backends[0].Most() >= 5 })
+	x.send(address, http.MethodGet, "lookup", nil)
+	uploadsBefore := len(x.runs())
+	all.Wait()
+	return uploadsBefore > len(x.runs())/2
+}
+
+const uploadTime = 300 * time.Millisecond
+
+// TestIncidents runs each incident through the product, which must be spared
+// it, and through the naive proxy, which must not: else the test shows nothing.
+func TestIncidents(t *testing.T) {
+	for name, c := range map[string]struct {
+		incident incident
+		handle   func(b *demo.Backend) http.HandlerFunc
+		servers  int
+	}{
+		"doubled engraving": {doubledEngraving, func(*demo.Backend) http.HandlerFunc {
+			return func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+		}, 2},
+		"cut artwork": {cutArtwork, func(*demo.Backend) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, strings.Repeat("part ", 2000))
+				http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}, 2},
+		"lost release": {lostRelease, func(*demo.Backend) http.HandlerFunc {
+			return func(http.ResponseWriter, *http.Request) {}
+		}, 1},
+		"starved lookup": {starvedLookup, func(*demo.Backend) http.HandlerFunc {
+			slots := make(chan struct{}, 6) // the naive proxy does not keep to them
+			return func(_ http.ResponseWriter, r *http.Request) {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				if r.Method == http.MethodPost {
+					time.Sleep(uploadTime)
+				}
+			}
+		}, 1},
+	} {
+		for _, product := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/product=%v", name, product), func(t *testing.T) {
+				is := is.New(t)
+				x := startMesh(t, c.servers, func(b *demo.Backend) { b.Handle = c.handle(b) },
+					demo.SetCaller("venue", "venue-token"), demo.Set("venue", "tags", "weight", "1"))
+				happened := c.incident(x, x.front(product))
+				is.Equal(happened, !product)
+			})
+		}
+	}
+}
+
+// TestPoisonRequestWhileAServerIsCold has the server that crashed come back
+// cold before the request is sent again.
+func TestPoisonRequestWhileAServerIsCold(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int32
+	x := newMesh(t)
+	var prepare func(*demo.Backend)
+	restart := make(chan int, 8)
+	prepare = func(b *demo.Backend) {
+		index := len(x.backends)
+		b.Handle = func(w http.ResponseWriter, r *http.Request) {
+			if data, _ := io.ReadAll(r.Body); string(data) == "poison" {
+				crashes.Add(1)
+				b.Crash()
+				restart <- index
+				return
+			}
+			fmt.Fprint(w, r.Header.Get(demo.IDHeader))
+		}
+	}
+	for i := range 2 {
+		x.add(fmt.Sprint("n", i), "dc-a", prepare)
+	}
+	x.edit("first", demo.SetService("tags", "/"), demo.SetCaller("app", "app-token"), demo.Set("app", "tags", "weight", "1"))
+	x.ok(x.AwaitServers(x.ctx, "tags", 2))
+	poison := func() reply {
+		return x.do(nil, x.request(x.Nodes[0], http.MethodPost, "p", strings.NewReader("poison")))
+	}
+	x.await("the request is refused", func() bool {
+		r := poison()
+		select {
+		case i := <-restart:
+			x.serve(x.Nodes[i%2], prepare) // cold
+			x.ok(x.AwaitServers(x.ctx, "tags", 2))
+		default:
+		}
+		return r.kind == "quarantined"
+	})
+	is.Equal(crashes.Load(), int32(2))
+	for i := range 10 {
+		id := fmt.Sprint("ok", i)
+		is.Equal(x.call(x.Nodes[i%2], http.MethodPost, id).body, id)
+	}
+}
--- a/node/operator.go
+++ b/node/operator.go
@@ -93,6 +93,7 @@
 func (n *Node) newOperatorServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/edits", n.serveEdit)
+	mux.HandleFunc("POST /v1/restore", n.serveRestore)
 	mux.HandleFunc("GET /v1/table", n.serveTable)
 	mux.HandleFunc("GET /v1/history", n.serveHistory)
 	mux.HandleFunc("GET /v1/status", n.serveStatus)
@@ -161,7 +162,7 @@
 		writeError(w, err)
 		return
 	}
-	edit := table.Edit{ID: wire.ID, Author: wire.Author, At: n.cfg.Clock.Now()}
+	edit := table.Edit{ID: wire.ID, Author: wire.Author, At: n.cfg.Clock.Now(), InForce: n.Version()}
 	for _, c := range wire.Changes {
 		k := table.Key{Sheet: table.Sheet(c.Sheet), Row: c.Row, Column: c.Column}
 		edit.Changes = append(edit.Changes, table.Change{Key: k, Value: c.Value, Remove: c.Remove, Read: c.Read})
@@ -171,6 +172,31 @@
 	respond(w, wireReceipt{receipt.Version, receipt.Repeat}, err)
 }
 
+// serveRestore commits the table in force here again, after the platform lost
+// it.
+func (n *Node) serveRestore(w http.ResponseWriter, r *http.Request) {
+	var wire wireEdit
+	if err := readJSON(r, &wire); err != nil {
+		writeError(w, err)
+		return
+	}
+	type copied struct {
+		table table.Table
+		err   error
+	}
+	c, ok := query(r.Context(), n, func(c *control) copied {
+		t, err := table.Assemble(c.follower.Head())
+		return copied{t, err}
+	})
+	if !ok || c.err != nil {
+		writeError(w, gd.Unavailable.Errorf("the node has no table to restore"))
+		return
+	}
+	receipt, err := n.editor.Restore(r.Context(), c.table, table.Edit{ID: wire.ID, Author: wire.Author, At: n.cfg.Clock.Now()})
+	n.log.Info("restore", "id", wire.ID, "author", wire.Author, "version", receipt.Version, "error", err)
+	respond(w, wireReceipt{receipt.Version, receipt.Repeat}, err)
+}
+
 func (n *Node) serveTable(w http.ResponseWriter, r *http.Request) {
 	t, _, err := n.editor.Load(r.Context())
 	wire := wireTable{Version: t.Version(), Cells: []wireCell{}}
--- a/node/station.go
+++ b/node/station.go
@@ -24,6 +24,7 @@
 const (
 	announceTerm    = 5 * time.Second // a server that does not repeat its announcement in time is gone
 	stationTick     = 50 * time.Millisecond
+	announceTicks   = 10 // a server's end is passed on after at most this many ticks
 	dialTimeout     = time.Second
 	cancelGrace     = 50 * time.Millisecond // how long a server takes to stop a call that was cancelled
 	oldServer       = 2 * time.Second       // a server this much older than the node may still run earlier calls
@@ -171,11 +172,13 @@
 func (s *station) run(ctx context.Context) error {
 	tick := time.NewTicker(stationTick)
 	defer tick.Stop()
-	for {
+	for i := 0; ; i++ {
 		select {
 		case <-tick.C:
 			s.expire()
-			s.n.post(s.announceState)
+			if i%announceTicks == 0 {
+				s.n.post(s.announceState)
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -69,9 +69,14 @@
 
 // Register is an immutable set of reports. The zero value is empty.
 type Register struct {
-	reports map[key]Report
+	reports    map[key]Report
+	generation uint64
 }
 
+// Generation changes whenever a register is derived with other reports. It
+// tells versions of one register apart, not two registers.
+func (g Register) Generation() uint64 { return g.generation }
+
 // WithReports returns the register with the reports merged in and those that
 // were new. Merging is commutative and idempotent.
 func (g Register) WithReports(reports ...Report) (Register, []Report) {
@@ -91,14 +96,21 @@
 		merged[k] = r
 		added = append(added, r)
 	}
-	return Register{merged}, added
+	if len(added) == 0 {
+		return g, nil
+	}
+	return Register{merged, g.generation + 1}, added
 }
 
 // WithoutExpired returns the register without the reports older than Term.
 func (g Register) WithoutExpired(now clock.Time) Register {
+	expired := func(_ key, r Report) bool { return r.At.Add(Term) <= now }
 	kept := maps.Clone(g.reports)
-	maps.DeleteFunc(kept, func(_ key, r Report) bool { return r.At.Add(Term) <= now })
-	return Register{kept}
+	maps.DeleteFunc(kept, expired)
+	if len(kept) == len(g.reports) {
+		return g
+	}
+	return Register{kept, g.generation + 1}
 }
 
 // Verdict returns how requests with fingerprint fp are treated at now.
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 	"github.com/geraniumdock/geraniumdock/table"
@@ -129,6 +130,9 @@
 	return &Reports{Reports: added}
 }
 
+// Expire drops crash reports past their term.
+func (f *Follower) Expire(now clock.Time) { f.register = f.register.WithoutExpired(now) }
+
 // Handle takes a message from the relay and returns the answers.
 func (f *Follower) Handle(m Message) []Message {
 	switch m := m.(type) {
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -16,10 +16,11 @@
 // Terms of a hub.
 const (
 	statusWait  = time.Second
-	lostAfter   = 2 * time.Second  // a node without a link is lost after this
-	orphanAfter = 4 * time.Second  // nodes of a silent relay have this long to link elsewhere
-	catchUp     = time.Second      // how long the platform's watch may lag behind another relay
-	inviteEvery = 5 * time.Second  // between invitations to a vacant seat
+	lostAfter   = 2 * time.Second // a node without a link is lost after this
+	orphanAfter = 4 * time.Second // nodes of a silent relay have this long to link elsewhere
+	catchUp     = time.Second     // how long the platform's watch may lag behind another relay
+	inviteEvery = 5 * time.Second // between invitations to a vacant seat
+	forgetEvery = 10 * time.Second
 	SeatsPerDC  = 2                // relays per data centre
 	forgetAfter = 10 * time.Minute // a server that left is forgotten after this
 )
@@ -52,6 +53,7 @@
 	requests  map[uint64]*request
 	lastID    uint64
 	invited   clock.Time
+	forgot    clock.Time
 }
 
 type link struct {
@@ -476,6 +478,10 @@
 // forget drops the servers that left long ago, and crash reports past their
 // term.
 func (h *Hub) forget(now clock.Time) {
+	if now.Sub(h.forgot) < forgetEvery {
+		return
+	}
+	h.forgot = now
 	for node, since := range h.departed {
 		if now.Sub(since) < forgetAfter {
 			continue
--- a/server/record.go
+++ b/server/record.go
@@ -71,9 +71,14 @@
 
 // Directory is an immutable set of records by node. The zero value is empty.
 type Directory struct {
-	records map[string]Record
+	records    map[string]Record
+	generation uint64
 }
 
+// Generation changes whenever a directory is derived with other records. It
+// tells versions of one directory apart, not two directories.
+func (d Directory) Generation() uint64 { return d.generation }
+
 // WithRecords returns the directory with the newer ones of records merged in,
 // and those that were newer. Merging is commutative and idempotent.
 func (d Directory) WithRecords(records ...Record) (Directory, []Record) {
@@ -92,7 +97,10 @@
 		merged[r.Node] = r
 		newer = append(newer, r)
 	}
-	return Directory{merged}, newer
+	if len(newer) == 0 {
+		return d, nil
+	}
+	return Directory{merged, d.generation + 1}, newer
 }
 
 // Record returns the record of node.
@@ -141,5 +149,5 @@
 func (d Directory) Without(node string) Directory {
 	records := maps.Clone(d.records)
 	delete(records, node)
-	return Directory{records}
+	return Directory{records, d.generation + 1}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,11 +23,39 @@
 	Tokens       Tokens        `yaml:"tokens"`
 	Certificates Certificates  `yaml:"certificates"`
 	Seeds        []string      `yaml:"seeds"`
-	Gather       time.Duration `yaml:"gather"`
-	DrainWait    time.Duration `yaml:"drain-wait"`
+	Gather       time.Duration `yaml:"-"`
+	DrainWait    time.Duration `yaml:"-"`
 	Log          Log           `yaml:"log"`
 }
 
+// wireSettings are the settings with their durations as text.
+type wireSettings struct {
+	Settings  `yaml:",inline"`
+	Gather    string `yaml:"gather"`
+	DrainWait string `yaml:"drain-wait"`
+}
+
+// durations parses the durations that the file names.
+func (w *wireSettings) durations() error {
+	for _, d := range []struct {
+		key, text string
+		into      *time.Duration
+	}{
+		{"gather", w.Gather, &w.Settings.Gather},
+		{"drain-wait", w.DrainWait, &w.Settings.DrainWait},
+	} {
+		if d.text == "" {
+			continue
+		}
+		v, err := time.ParseDuration(d.text)
+		if err != nil {
+			return gd.Invalid.Errorf("key %s: %q is not a duration such as 200ms or 30s", d.key, d.text)
+		}
+		*d.into = v
+	}
+	return nil
+}
+
 // Platform says where the platform's object service is.
 type Platform struct {
 	Address        string  `yaml:"address"`
@@ -107,14 +135,18 @@
 // Parse checks the bytes of a settings file. Errors name the file, and the key
 // or the line and column.
 func Parse(data []byte, file string) (Settings, error) {
-	s := Default()
-	if err := yaml.UnmarshalWithOptions(data, &s, yaml.Strict()); err != nil {
+	w := wireSettings{Settings: Default()}
+	if err := yaml.UnmarshalWithOptions(data, &w, yaml.Strict()); err != nil {
 		return Settings{}, gd.Invalid.Errorf("%s: %s", file, strings.TrimSpace(err.Error()))
 	}
-	if err := s.check(); err != nil {
+	err := w.durations()
+	if err == nil {
+		err = w.check()
+	}
+	if err != nil {
 		return Settings{}, gd.Invalid.Errorf("%s: %s", file, gd.Message(err))
 	}
-	return s, nil
+	return w.Settings, nil
 }
 
 func (s Settings) check() error {
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,84 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/mutate"
+)
+
+const sound = `data-centre: ist-a
+region: tr-west
+platform:
+  address: http://127.0.0.1:9000
+certificates:
+  authority: authority.pem
+  certificate: node.pem
+  key: node-key.pem
+gather: 500ms
+`
+
+func TestSample(t *testing.T) {
+	is := is.New(t)
+	s, err := Read("testdata/node.yaml")
+	is.NoErr(err)
+	is.Equal(s.DataCentre, "ist-a")
+	is.Equal(s.Certificates.Key, "testdata/certificates/tags-1-key.pem") // starts at the file
+}
+
+func TestDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(sound), "node.yaml")
+	is.NoErr(err)
+	is.Equal(s.Gather, 500*time.Millisecond)
+	is.Equal(s.Listen.Operator, "127.0.0.1:8081")
+	is.Equal(s.DrainWait, 30*time.Second)
+}
+
+func TestBadSettingsNameFileAndPlace(t *testing.T) {
+	for name, c := range map[string]struct{ old, replacement, text string }{
+		"unknown key":       {"gather:", "gathre:", "[9:1] unknown field"},
+		"missing key":       {"region: tr-west\n", "", "key region: missing"},
+		"not a duration":    {"500ms", "soon", `key gather: "soon" is not a duration`},
+		"out of range":      {"500ms", "1h", "key gather: 1h0m0s is not from"},
+		"platform address":  {"http://127.0.0.1:9000", "127.0.0.1", "key platform.address"},
+		"public operator":   {"gather: 500ms", "listen:\n  operator: 10.0.0.1:8081", "tokens.operator-file is needed"},
+		"public announce":   {"gather: 500ms", "listen:\n  announce: 10.0.0.1:8081", "tokens.announce-file is needed"},
+		"host name":         {"gather: 500ms", "listen:\n  calls: localhost:80", "not an IP address"},
+		"unspecified peers": {"gather: 500ms", "listen:\n  peers: 0.0.0.0:8443", "the VM's own address"},
+		"log level":         {"gather: 500ms", "log:\n  level: loud", "key log.level"},
+		"seed":              {"gather: 500ms", "seeds: [ten]", "key seeds[0]"},
+		"claim writes":      {"  address:", "  claim-writes-per-second: 99\n  address:", "key platform.claim-writes-per-second"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(strings.Replace(sound, c.old, c.replacement, 1)), "node.yaml")
+			is.True(gd.Invalid.Is(err))
+			is.True(strings.HasPrefix(gd.Message(err), "node.yaml: "))
+			if !strings.Contains(gd.Message(err), c.text) {
+				t.Fatalf("%q lacks %q", gd.Message(err), c.text)
+			}
+		})
+	}
+}
+
+func TestDamagedSettings(t *testing.T) {
+	for data := range mutate.Copies([]byte(sound), 2000) {
+		if _, err := Parse(data, "f"); err != nil && !gd.Invalid.Is(err) {
+			t.Fatal(err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := Parse(data, "f"); err != nil && !gd.Invalid.Is(err) {
+			t.Fatal(err)
+		}
+	})
+}
--- a/table/editor.go
+++ b/table/editor.go
@@ -112,6 +112,9 @@
 		if r, ok := l.head.record(edit.ID); ok {
 			return Receipt{r.Version, r.At, true}, nil
 		}
+		if l.head.Version < edit.InForce {
+			return Receipt{}, gd.Conflict.Errorf("the platform holds table version %d, older than version %d in force; see table restore", l.head.Version, edit.InForce)
+		}
 		err = e.commitOnce(ctx, l, edit)
 		switch {
 		case err == nil:
@@ -162,6 +165,29 @@
 	return err
 }
 
+// Restore commits t again after the platform lost it. It is refused unless the
+// platform holds an older version than t.
+func (e *Editor) Restore(ctx context.Context, t Table, edit Edit) (Receipt, error) {
+	l, err := e.load(ctx)
+	if err != nil {
+		return Receipt{}, err
+	}
+	if l.head.Version >= t.version {
+		return Receipt{}, gd.Conflict.Errorf("the platform holds table version %d, no older than version %d in force here", l.head.Version, t.version)
+	}
+	next := Table{version: t.version + 1, chunks: t.chunks}
+	head, err := e.writeChunks(ctx, l, next, edit.ID)
+	if err != nil {
+		return Receipt{}, err
+	}
+	data, err := EncodeHead(head.withRecord(edit))
+	if err != nil {
+		return Receipt{}, err
+	}
+	_, err = e.store.Put(ctx, HeadKey, data, l.revision)
+	return Receipt{next.version, edit.At, false}, err
+}
+
 // writeChunks writes the chunks of next that l lacks. The edit's id in the
 // keys keeps two editors from sharing an object, so that retiring one edit's
 // chunk cannot take away another's.
--- a/table/head.go
+++ b/table/head.go
@@ -111,6 +111,9 @@
 }
 
 func (e Edit) summary() []string {
+	if len(e.Changes) == 0 {
+		return []string{"restored from a node"}
+	}
 	var cells []string
 	for i, c := range e.Changes {
 		if i == maxCellsLogged {
@@ -148,13 +151,13 @@
 }
 
 // encode returns the bytes of the chunk; equal chunks have equal bytes.
-func (ch chunk) encode() ([]byte, error) {
-	cells := make([]wireCell, 0, len(ch))
+func (ch cells) encode() ([]byte, error) {
+	list := make([]wireCell, 0, len(ch))
 	for k, c := range ch {
-		cells = append(cells, wireCell{Key: k, Cell: c})
+		list = append(list, wireCell{Key: k, Cell: c})
 	}
-	slices.SortFunc(cells, func(a, b wireCell) int { return compareKeys(a.Key, b.Key) })
-	data, err := encoding.Marshal(cells)
+	slices.SortFunc(list, func(a, b wireCell) int { return compareKeys(a.Key, b.Key) })
+	data, err := encoding.Marshal(list)
 	if err != nil {
 		return nil, gd.Internal.Wrapf(err, "encode chunk")
 	}
@@ -167,13 +170,13 @@
 	return Hash(sum[:hashBytes])
 }
 
-func decodeChunk(name string, data []byte) (chunk, error) {
-	var cells []wireCell
-	if err := cbor.Unmarshal(data, &cells); err != nil {
+func decodeChunk(name string, data []byte) (cells, error) {
+	var list []wireCell
+	if err := cbor.Unmarshal(data, &list); err != nil {
 		return nil, gd.Invalid.Wrapf(err, "chunk %s", name)
 	}
-	ch := make(chunk, len(cells))
-	for _, c := range cells {
+	ch := make(cells, len(list))
+	for _, c := range list {
 		if c.Key.chunk() != name {
 			return nil, gd.Invalid.Errorf("chunk %s holds %s", name, c.Key)
 		}
@@ -208,7 +211,7 @@
 // Assemble returns the table that h names. It fails unless every chunk is
 // there with the content that its address promises.
 func Assemble(h Head, chunks Chunks) (Table, error) {
-	t := Table{version: h.Version, chunks: map[string]chunk{}}
+	t := Table{version: h.Version, chunks: map[string]cells{}}
 	for _, r := range h.Refs {
 		data, ok := chunks[r.Hash]
 		if !ok {
--- a/table/table.go
+++ b/table/table.go
@@ -90,9 +90,11 @@
 }
 
 // Edit is a set of changes that are accepted or refused together. ID makes
-// it idempotent.
+// it idempotent. InForce is the newest version known to be in force: a store
+// that holds an older one has lost the table, and the edit is refused.
 type Edit struct {
 	ID      string
+	InForce uint64
 	Author  string
 	At      clock.Time
 	Changes []Change
@@ -102,10 +104,11 @@
 // empty table at version 0.
 type Table struct {
 	version uint64
-	chunks  map[string]chunk
+	chunks  map[string]cells
 }
 
-type chunk map[Key]Cell
+// cells are the cells of a chunk.
+type cells map[Key]Cell
 
 // Version returns the table's version.
 func (t Table) Version() uint64 { return t.version }
@@ -153,7 +156,7 @@
 	}
 	next := Table{version: t.version + 1, chunks: maps.Clone(t.chunks)}
 	if next.chunks == nil {
-		next.chunks = map[string]chunk{}
+		next.chunks = map[string]cells{}
 	}
 	cloned := map[string]bool{}
 	for _, c := range e.Changes {
@@ -170,9 +173,9 @@
 	return next, nil
 }
 
-func cloneChunk(ch chunk) chunk {
+func cloneChunk(ch cells) cells {
 	if ch == nil {
-		return chunk{}
+		return cells{}
 	}
 	return maps.Clone(ch)
 }
@@ -235,7 +238,7 @@
 }
 
 // apply merges c, which has been checked, into the chunk.
-func (ch chunk) apply(c Change, version uint64, author string) {
+func (ch cells) apply(c Change, version uint64, author string) {
 	row := Key{c.Key.Sheet, c.Key.Row, ""}
 	if c.Remove {
 		for k, old := range ch {
