--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -132,7 +132,9 @@
 
 func takeAnything(data []byte) {
 	l := New("n", "n:1", "dc").WithRead(0, gd.Object{Revision: 1, Value: data})
-	l.Next(0)
+	if step := l.Next(0); step.Action == Wait && step.At < 0 {
+		panic("waits for the past")
+	}
 }
 
 func TestDamagedLeases(t *testing.T) {
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -65,22 +64,6 @@
 	reason  string
 }
 
-// orphan is a relay that went silent. Servers of its data centre that no other
-// relay vouches for are lost with it.
-type orphan struct {
-	dataCentre string
-	since      clock.Time
-}
-
-// request collects the answers of other relays to a status request.
-type request struct {
-	from    string
-	id      uint64
-	nodes   map[string]Progress
-	waiting map[string]bool
-	until   clock.Time
-}
-
 // NewHub returns the hub of a relay that gathers changes for the given time
 // before it pushes them.
 func NewHub(node, dataCentre string, gather time.Duration, rnd *rand.Rand) *Hub {
@@ -98,22 +81,6 @@
 	}
 }
 
-// Adopt gives a new hub the servers and crash reports that its node knows. The
-// nodes of a data centre that no other relay vouches for have a while to link
-// here before their servers are lost.
-func (h *Hub) Adopt(now clock.Time, d server.Directory, g quarantine.Register) {
-	h.directory, h.register = d, g
-	for _, r := range d.Records() {
-		h.orphaned[adopted+r.DataCentre] = orphan{r.DataCentre, now}
-		if r.State >= server.Lost {
-			h.departed[r.Node] = now
-		}
-	}
-}
-
-// adopted marks orphans of a data centre as a whole; no node is named so.
-const adopted = "/"
-
 // Version returns the version that the hub distributes.
 func (h *Hub) Version() uint64 { return h.head.Version }
 
@@ -132,16 +99,6 @@
 	}
 }
 
-// SetSeats replaces the list of relays and tells it to the links if it
-// changed.
-func (h *Hub) SetSeats(seats []Seat) []Send {
-	if slices.Equal(seats, h.seats) {
-		return nil
-	}
-	h.seats = seats
-	return h.broadcast(&Seats{Seats: seats}, "")
-}
-
 // Join takes in a node that opened a link with hello.
 func (h *Hub) Join(now clock.Time, hello *Hello) []Send {
 	l := &link{hello: *hello, held: setOf(hello.Held), version: hello.Version, refused: hello.Refused, reason: hello.Reason}
@@ -359,47 +316,6 @@
 
 func (h *Hub) linked() []string { return slices.Sorted(maps.Keys(h.links)) }
 
-// merge takes in records from a link and passes on the newer ones: those of
-// own nodes to everyone, those from other relays to own nodes only.
-func (h *Hub) merge(now clock.Time, from string, relayed bool, records []server.Record) []Send {
-	var sends []Send
-	records = slices.DeleteFunc(slices.Clone(records), func(r server.Record) bool {
-		// A node that is linked here lives: let it refute its loss.
-		_, linked := h.links[r.Node]
-		if refute := r.State == server.Lost && linked && r.Node != from; refute {
-			sends = append(sends, Send{r.Node, &Members{Records: []server.Record{r}}})
-			return true
-		}
-		return false
-	})
-	var newer []server.Record
-	h.directory, newer = h.directory.WithRecords(records...)
-	if len(newer) == 0 {
-		return sends
-	}
-	h.noteDeparted(now, newer)
-	return append(sends, h.pass(from, relayed, &Members{Records: newer})...)
-}
-
-func (h *Hub) noteDeparted(now clock.Time, records []server.Record) {
-	for _, r := range records {
-		delete(h.departed, r.Node)
-		if r.State >= server.Lost {
-			h.departed[r.Node] = now
-		}
-	}
-}
-
-// pass sends news from one link to the others; what came from another relay
-// goes to nodes only, since that relay tells the other relays itself.
-func (h *Hub) pass(from string, relayed bool, m Message) []Send {
-	sends := h.broadcast(m, from)
-	if !relayed {
-		return sends
-	}
-	return slices.DeleteFunc(sends, func(s Send) bool { return h.links[s.To].hello.Relay })
-}
-
 func (h *Hub) broadcast(m Message, except string) []Send {
 	var sends []Send
 	for _, name := range h.linked() {
@@ -409,204 +325,3 @@
 	}
 	return sends
 }
-
-func (h *Hub) takeReports(from string, relayed bool, reports []quarantine.Report) []Send {
-	var added []quarantine.Report
-	h.register, added = h.register.WithReports(reports...)
-	if len(added) == 0 {
-		return nil
-	}
-	return h.pass(from, relayed, &Reports{Reports: added})
-}
-
-// loseAbsent marks servers as lost whose node has no link any more.
-func (h *Hub) loseAbsent(now clock.Time) []Send {
-	var nodes []string
-	for node, since := range h.absent {
-		if now.Sub(since) >= lostAfter {
-			delete(h.absent, node)
-			nodes = append(nodes, node)
-		}
-	}
-	for relay, o := range h.orphaned {
-		if now.Sub(o.since) >= orphanAfter {
-			delete(h.orphaned, relay)
-			nodes = append(nodes, h.orphans(o.dataCentre)...)
-		}
-	}
-	slices.Sort(nodes)
-	return h.lose(now, slices.Compact(nodes))
-}
-
-// orphans returns the nodes of the data centre that are not linked here, when
-// no other relay there vouches for them.
-func (h *Hub) orphans(dataCentre string) []string {
-	if h.hasRelayLink(dataCentre) {
-		return nil
-	}
-	var nodes []string
-	for _, r := range h.directory.Records() {
-		if _, linked := h.links[r.Node]; r.DataCentre == dataCentre && !linked {
-			nodes = append(nodes, r.Node)
-		}
-	}
-	return nodes
-}
-
-func (h *Hub) hasRelayLink(dataCentre string) bool {
-	for _, l := range h.links {
-		if l.hello.Relay && l.hello.DataCentre == dataCentre {
-			return true
-		}
-	}
-	return false
-}
-
-func (h *Hub) lose(now clock.Time, nodes []string) []Send {
-	var lost []server.Record
-	for _, node := range nodes {
-		if r, ok := h.directory.Record(node); ok && r.State < server.Lost {
-			lost = append(lost, r.WithState(server.Lost))
-		}
-	}
-	if len(lost) == 0 {
-		return nil
-	}
-	return h.merge(now, "", false, lost)
-}
-
-// forget drops the servers that left long ago, and crash reports past their
-// term.
-func (h *Hub) forget(now clock.Time) {
-	if now.Sub(h.forgot) < forgetEvery {
-		return
-	}
-	h.forgot = now
-	for node, since := range h.departed {
-		if now.Sub(since) < forgetAfter {
-			continue
-		}
-		delete(h.departed, node)
-		h.directory = h.directory.Without(node)
-	}
-	h.register = h.register.WithoutExpired(now)
-}
-
-// invite asks a random node to stand for a vacant seat of its data centre.
-// One node is asked, so that the platform does not see the whole fleet read
-// the leases when a relay dies.
-func (h *Hub) invite(now clock.Time) []Send {
-	if len(h.seats) == 0 || now.Sub(h.invited) < inviteEvery {
-		return nil
-	}
-	h.invited = now
-	taken := map[string]map[int]bool{}
-	for _, s := range h.seats {
-		if taken[s.DataCentre] == nil {
-			taken[s.DataCentre] = map[int]bool{}
-		}
-		taken[s.DataCentre][s.Index] = true
-	}
-	candidates := map[string][]string{}
-	for _, name := range h.linked() {
-		l := h.links[name]
-		if !l.hello.Relay && !h.hasSeat(name) {
-			candidates[l.hello.DataCentre] = append(candidates[l.hello.DataCentre], name)
-		}
-	}
-	return h.inviteTo(taken, candidates)
-}
-
-func (h *Hub) hasSeat(node string) bool {
-	return slices.ContainsFunc(h.seats, func(s Seat) bool { return s.Node == node })
-}
-
-func (h *Hub) inviteTo(taken map[string]map[int]bool, candidates map[string][]string) []Send {
-	var sends []Send
-	for _, dc := range slices.Sorted(maps.Keys(candidates)) {
-		for i := range SeatsPerDC {
-			if taken[dc][i] {
-				continue
-			}
-			names := candidates[dc]
-			sends = append(sends, Send{names[h.rnd.IntN(len(names))], &Invite{Index: i}})
-			break
-		}
-	}
-	return sends
-}
-
-// Progress returns what the nodes linked to this relay have acknowledged.
-func (h *Hub) Progress() []Progress {
-	var nodes []Progress
-	for _, name := range h.linked() {
-		l := h.links[name]
-		if !l.hello.Relay {
-			nodes = append(nodes, Progress{name, l.hello.DataCentre, l.version, l.refused, l.reason})
-		}
-	}
-	return nodes
-}
-
-// status answers a request, after asking the other relays unless it is local.
-func (h *Hub) status(now clock.Time, from string, m *StatusRequest) []Send {
-	if m.Local {
-		return []Send{{from, &StatusReply{ID: m.ID, Nodes: h.Progress()}}}
-	}
-	h.lastID++
-	r := &request{from: from, id: m.ID, nodes: map[string]Progress{}, waiting: map[string]bool{}, until: now.Add(statusWait)}
-	r.add(h.Progress())
-	var sends []Send
-	for _, name := range h.linked() {
-		if h.links[name].hello.Relay {
-			r.waiting[name] = true
-			sends = append(sends, Send{name, &StatusRequest{ID: h.lastID, Local: true}})
-		}
-	}
-	h.requests[h.lastID] = r
-	return append(sends, h.finish(h.lastID)...)
-}
-
-func (r *request) add(nodes []Progress) {
-	for _, p := range nodes {
-		if old, ok := r.nodes[p.Node]; !ok || p.Version >= old.Version {
-			r.nodes[p.Node] = p
-		}
-	}
-}
-
-func (h *Hub) collectReply(from string, m *StatusReply) []Send {
-	r, ok := h.requests[m.ID]
-	if !ok || !r.waiting[from] {
-		return nil
-	}
-	delete(r.waiting, from)
-	r.add(m.Nodes)
-	return h.finish(m.ID)
-}
-
-// finish answers the request if nothing is waited for any more.
-func (h *Hub) finish(id uint64) []Send {
-	r := h.requests[id]
-	if len(r.waiting) > 0 {
-		return nil
-	}
-	return h.answer(id, r)
-}
-
-func (h *Hub) answer(id uint64, r *request) []Send {
-	delete(h.requests, id)
-	nodes := slices.Collect(maps.Values(r.nodes))
-	slices.SortFunc(nodes, func(a, b Progress) int { return cmp.Compare(a.Node, b.Node) })
-	return []Send{{r.from, &StatusReply{ID: r.id, Nodes: nodes, Silent: slices.Sorted(maps.Keys(r.waiting))}}}
-}
-
-func (h *Hub) expireRequests(now clock.Time) []Send {
-	var sends []Send
-	for _, id := range slices.Sorted(maps.Keys(h.requests)) {
-		if r := h.requests[id]; r.until <= now {
-			sends = append(sends, h.answer(id, r)...)
-		}
-	}
-	return sends
-}
