--- /dev/null
+++ b/examples/backend/main.go
@@ -0,0 +1,37 @@
+// Command backend is a small backend server that announces itself to the node
+// beside it, for trying a fleet. It answers each request with the request's id.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/geraniumdock/geraniumdock/demo"
+)
+
+type options struct {
+	Announce string `long:"announce" value-name:"HOST:PORT" default:"127.0.0.1:8082" description:"announce address of the node"`
+	Service  string `long:"service" value-name:"NAME" default:"tags" description:"service that the server belongs to"`
+	Slots    int    `long:"slots" value-name:"N" default:"6" description:"requests that it runs at once"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	b := &demo.Backend{Service: o.Service, Slots: o.Slots}
+	if err := b.Start(o.Announce); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	fmt.Println("serving", o.Service, "at", b.Address())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	b.Close()
+}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -47,6 +47,7 @@
 	}
 	defer a.close()
 	a.response.Header.Del(loadHeader)
+	a.response.Header.Set(outcomeHeader, string(gd.Answered))
 	if err := copyAnswer(w, a.response); err != nil {
 		n.counters.count(c.service, c.caller, "cut")
 		n.log.Warn("answer cut", "caller", c.caller, "service", c.service, "server", a.node, "error", err)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -222,6 +222,7 @@
 	req.Header.Set("Geraniumdock-Caller", "scanner")
 	req.Header.Set("Geraniumdock-Service", "other")
 	is.Equal(x.do(n, req).status, http.StatusOK)
+	is.Equal(x.call(n, http.MethodGet, "a").outcome, "answer")
 	is.Equal(seen.Get("Geraniumdock-Caller"), "app")
 	is.Equal(seen.Get("Geraniumdock-Service"), "")
 	is.Equal(seen.Get("Proxy-Authorization"), "")
