Membership settles after cuts and deaths of relays

Now: a relay answers for the nodes linked to it, by name; when one goes silent the others first ask each other (doubt), and conclude for their own nodes only; notices carry a digest, and a relay whose digest differs is sent the whole directory; a node takes the view of the relay that it follows. Conclusion: who answers for a node has to be said by name; data centres are too coarse.

--- a/relay/follower.go
+++ b/relay/follower.go
@@ -139,7 +139,7 @@
 	case *Push:
 		return []Message{f.adopt(m)}
 	case *Members:
-		return f.merge(m.Records)
+		return f.merge(m)
 	case *Reports:
 		f.register, _ = f.register.WithReports(m.Reports...)
 	case *Seats:
@@ -150,8 +150,12 @@
 
 // merge takes in records; one that says the node's own server is lost is
 // refuted under a new sequence.
-func (f *Follower) merge(records []server.Record) []Message {
-	f.directory, _ = f.directory.WithRecords(records...)
+func (f *Follower) merge(m *Members) []Message {
+	if m.Whole {
+		f.directory = f.directory.WithView(m.Records)
+	} else {
+		f.directory, _ = f.directory.WithRecords(m.Records...)
+	}
 	now, ok := f.directory.Record(f.node)
 	if !ok || f.own.Sequence == 0 || now == f.own {
 		return nil
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -15,10 +15,13 @@
 // Terms of a hub.
 const (
 	statusWait  = time.Second
-	lostAfter   = 2 * time.Second // a node without a link is lost after this
-	orphanAfter = 4 * time.Second // nodes of a silent relay have this long to link elsewhere
-	catchUp     = time.Second     // how long the platform's watch may lag behind another relay
-	inviteEvery = 5 * time.Second // between invitations to a vacant seat
+	lostAfter   = 2 * time.Second  // a node without a link is lost after this
+	orphanAfter = 4 * time.Second  // nodes of a silent relay have this long to link elsewhere
+	noticeEvery = 10 * time.Second // between notices to the other relays
+	syncEvery   = 30 * time.Second // between whole directories to a relay whose digest differs
+	doubtAfter  = 2 * time.Second  // and the other relays are asked for them after this
+	catchUp     = time.Second      // how long the platform's watch may lag behind another relay
+	inviteEvery = 5 * time.Second  // between invitations to a vacant seat
 	forgetEvery = 10 * time.Second
 	SeatsPerDC  = 2                // relays per data centre
 	forgetAfter = 10 * time.Minute // a server that left is forgotten after this
@@ -45,10 +48,13 @@
 	directory server.Directory
 	register  quarantine.Register
 	seats     []Seat
-	absent    map[string]clock.Time // nodes whose link was lost, by when
+	absent    map[string]absence
 	behind    map[string]clock.Time // relays that have a newer version, by since when
 	departed  map[string]clock.Time
-	orphaned  map[string]orphan // relays whose link was lost
+	orphaned  map[string]*orphan    // relays whose link was lost
+	via       map[string]string     // nodes that other relays vouch for, to the relay
+	synced    map[string]clock.Time // relays that were sent the whole directory, by when
+	noticed   clock.Time            // when the other relays last got a notice
 	requests  map[uint64]*request
 	lastID    uint64
 	invited   clock.Time
@@ -73,10 +79,12 @@
 		gather:     gather,
 		rnd:        rnd,
 		links:      map[string]*link{},
-		absent:     map[string]clock.Time{},
+		absent:     map[string]absence{},
 		behind:     map[string]clock.Time{},
 		departed:   map[string]clock.Time{},
-		orphaned:   map[string]orphan{},
+		orphaned:   map[string]*orphan{},
+		via:        map[string]string{},
+		synced:     map[string]clock.Time{},
 		requests:   map[uint64]*request{},
 	}
 }
@@ -105,12 +113,15 @@
 	l.hello.Records, l.hello.Held, l.hello.Reports = nil, nil, nil
 	h.links[hello.Node] = l
 	delete(h.absent, hello.Node)
-	delete(h.orphaned, hello.Node)
 	sends := h.merge(now, hello.Node, hello.Relay, hello.Records)
+	if hello.Relay {
+		h.vouch(hello.Node, hello.Linked)
+		delete(h.orphaned, hello.Node)
+	}
 	sends = append(sends, h.takeReports(hello.Node, hello.Relay, hello.Reports)...)
 	sends = append(sends, h.greet(hello)...)
 	if hello.Relay {
-		return append(sends, Send{hello.Node, &Notice{Version: h.head.Version}})
+		return append(sends, Send{hello.Node, &Notice{Version: h.head.Version}}, Send{hello.Node, &Members{Linked: h.own()}})
 	}
 	if h.pushAt == 0 && hello.Version < h.head.Version {
 		sends = append(sends, Send{hello.Node, h.push(l)})
@@ -122,7 +133,7 @@
 func (h *Hub) greet(hello *Hello) []Send {
 	sends := []Send{{hello.Node, &Seats{Seats: h.seats}}}
 	if h.directory.Digest() != hello.Digest {
-		sends = append(sends, Send{hello.Node, &Members{Records: h.directory.Records()}})
+		sends = append(sends, Send{hello.Node, &Members{Records: h.directory.Records(), Whole: true}})
 	}
 	if reports := h.register.Reports(); len(reports) > 0 {
 		sends = append(sends, Send{hello.Node, &Reports{Reports: reports}})
@@ -146,10 +157,12 @@
 	}
 	delete(h.links, node)
 	if l.hello.Relay {
-		h.orphaned[node] = orphan{l.hello.DataCentre, now}
+		h.orphaned[node] = &orphan{since: now}
 		return
 	}
-	h.absent[node] = now
+	if r, ok := h.directory.Record(node); ok {
+		h.absent[node] = absence{r, now}
+	}
 }
 
 // Handle takes a message from a linked node.
@@ -165,7 +178,7 @@
 		l.held = setOf(m.Held)
 		return []Send{{from, h.push(l)}}
 	case *Members:
-		return h.merge(now, from, l.hello.Relay, m.Records)
+		return h.take(now, from, l.hello.Relay, m)
 	case *Reports:
 		return h.takeReports(from, l.hello.Relay, m.Reports)
 	case *StatusRequest:
@@ -181,11 +194,12 @@
 func (h *Hub) FromRelay(now clock.Time, from string, m Message) ([]Message, []Send) {
 	switch m := m.(type) {
 	case *Notice:
-		h.noticed(now, from, m.Version)
+		h.notice(now, from, m.Version)
+		return h.sync(now, from, m.Digest), nil
 	case *Push:
 		return nil, h.takePush(now, m)
 	case *Members:
-		return nil, h.merge(now, from, true, m.Records)
+		return nil, h.take(now, from, true, m)
 	case *Reports:
 		return nil, h.takeReports(from, true, m.Reports)
 	case *StatusRequest:
@@ -205,6 +219,7 @@
 		Digest:      h.directory.Digest(),
 		Records:     h.directory.Records(),
 		Reports:     h.register.Reports(),
+		Linked:      h.own(),
 	}
 }
 
@@ -226,9 +241,9 @@
 	return nil
 }
 
-// noticed takes the version that another relay has. If this relay's own
+// notice takes the version that another relay has. If this relay's own
 // watch does not deliver it in time, the other relay is asked for it.
-func (h *Hub) noticed(now clock.Time, from string, version uint64) {
+func (h *Hub) notice(now clock.Time, from string, version uint64) {
 	if version <= h.head.Version {
 		delete(h.behind, from)
 		return
@@ -283,6 +298,7 @@
 		sends = h.pushAll()
 	}
 	sends = append(sends, h.loseAbsent(now)...)
+	sends = append(sends, h.noticeAll(now)...)
 	sends = append(sends, h.expireRequests(now)...)
 	sends = append(sends, h.invite(now)...)
 	h.forget(now)
--- a/relay/members.go
+++ b/relay/members.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/geraniumdock/geraniumdock/clock"
@@ -8,41 +10,102 @@
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
-// orphan is a relay that went silent. Servers of its data centre that no other
-// relay vouches for are lost with it.
+// absence is a node whose link was lost, with its record at that time. A node
+// that links elsewhere gets a new record.
+type absence struct {
+	record server.Record
+	since  clock.Time
+}
+
+// orphan is a relay that went silent. Servers whose nodes it vouched for are
+// lost with it unless another relay does.
 type orphan struct {
-	dataCentre string
-	since      clock.Time
+	since    clock.Time
+	doubted  bool
+	suspects []server.Record // that nobody vouched for when they were doubted
 }
 
-// Adopt gives a new hub the servers and crash reports that its node knows. The
-// nodes of a data centre that no other relay vouches for have a while to link
-// here before their servers are lost.
+// Adopt gives a new hub the servers and crash reports that its node knows. Nodes
+// that no relay vouches for have a while to link here before their servers are
+// lost.
 func (h *Hub) Adopt(now clock.Time, d server.Directory, g quarantine.Register) {
 	h.directory, h.register = d, g
+	h.orphaned[nobody] = &orphan{since: now}
 	for _, r := range d.Records() {
-		h.orphaned[adopted+r.DataCentre] = orphan{r.DataCentre, now}
 		if r.State >= server.Lost {
 			h.departed[r.Node] = now
 		}
 	}
 }
 
-// adopted marks orphans of a data centre as a whole; no node is named so.
-const adopted = "/"
+// nobody stands for the relay of nodes that no relay has vouched for.
+const nobody = ""
+
+// vouch notes that the nodes are linked to the relay.
+func (h *Hub) vouch(relay string, nodes []string) {
+	for _, node := range nodes {
+		h.via[node] = relay
+	}
+}
+
+// own returns the nodes that are linked to this relay.
+func (h *Hub) own() []string {
+	return slices.DeleteFunc(h.linked(), func(name string) bool { return h.links[name].hello.Relay })
+}
+
+// noticeAll tells the other relays now and then what this one has.
+func (h *Hub) noticeAll(now clock.Time) []Send {
+	if now.Sub(h.noticed) < noticeEvery {
+		return nil
+	}
+	h.noticed = now
+	m := &Notice{Version: h.head.Version, Digest: h.directory.Digest()}
+	return slices.DeleteFunc(h.broadcast(m, ""), func(s Send) bool { return !h.links[s.To].hello.Relay })
+}
+
+// sync sends the whole directory to a relay whose own differs. News that a
+// relay missed while it was cut off from their source reach it through others.
+func (h *Hub) sync(now clock.Time, relay string, digest uint64) []Message {
+	if last, ok := h.synced[relay]; digest == 0 || digest == h.directory.Digest() || ok && now.Sub(last) < syncEvery {
+		return nil
+	}
+	h.synced[relay] = now
+	return []Message{&Members{Records: h.directory.Records()}}
+}
+
+// take takes records from a link.
+func (h *Hub) take(now clock.Time, from string, relayed bool, m *Members) []Send {
+	if !m.Doubt {
+		if relayed {
+			h.vouch(from, m.Linked)
+		}
+		return h.merge(now, from, relayed, m.Records)
+	}
+	var sends []Send
+	for _, r := range m.Records {
+		if _, linked := h.links[r.Node]; linked {
+			sends = append(sends, h.refute(r.WithState(server.Lost)))
+		}
+	}
+	return sends
+}
+
+// refute has a node that is linked here contradict the loss of its server.
+func (h *Hub) refute(lost server.Record) Send {
+	return Send{lost.Node, &Members{Records: []server.Record{lost}}}
+}
 
 // merge takes in records from a link and passes on the newer ones: those of
 // own nodes to everyone, those from other relays to own nodes only.
 func (h *Hub) merge(now clock.Time, from string, relayed bool, records []server.Record) []Send {
 	var sends []Send
 	records = slices.DeleteFunc(slices.Clone(records), func(r server.Record) bool {
-		// A node that is linked here lives: let it refute its loss.
 		_, linked := h.links[r.Node]
-		if refute := r.State == server.Lost && linked && r.Node != from; refute {
-			sends = append(sends, Send{r.Node, &Members{Records: []server.Record{r}}})
-			return true
+		contradict := r.State == server.Lost && linked && r.Node != from
+		if contradict {
+			sends = append(sends, h.refute(r))
 		}
-		return false
+		return contradict
 	})
 	var newer []server.Record
 	h.directory, newer = h.directory.WithRecords(records...)
@@ -50,7 +113,27 @@
 		return sends
 	}
 	h.noteDeparted(now, newer)
-	return append(sends, h.pass(from, relayed, &Members{Records: newer})...)
+	for _, r := range newer {
+		if relayed && from != nobody {
+			h.via[r.Node] = from
+		}
+	}
+	sends = append(sends, h.pass(from, relayed, &Members{Records: newer})...)
+	if relayed {
+		sends = append(sends, h.doubt(from, newer)...)
+	}
+	return sends
+}
+
+// doubt asks the other relays for the servers that one relay lost: the relay
+// that a server's node is linked to may be cut off from that one.
+func (h *Hub) doubt(from string, records []server.Record) []Send {
+	lost := slices.DeleteFunc(slices.Clone(records), func(r server.Record) bool { return r.State != server.Lost })
+	if len(lost) == 0 {
+		return nil
+	}
+	m := &Members{Records: lost, Doubt: true}
+	return slices.DeleteFunc(h.broadcast(m, from), func(s Send) bool { return !h.links[s.To].hello.Relay })
 }
 
 func (h *Hub) noteDeparted(now clock.Time, records []server.Record) {
@@ -83,58 +166,72 @@
 
 // loseAbsent marks servers as lost whose node has no link any more.
 func (h *Hub) loseAbsent(now clock.Time) []Send {
-	var nodes []string
-	for node, since := range h.absent {
-		if now.Sub(since) >= lostAfter {
+	var lost []server.Record
+	for node, a := range h.absent {
+		if now.Sub(a.since) >= lostAfter {
 			delete(h.absent, node)
-			nodes = append(nodes, node)
+			lost = append(lost, a.record)
 		}
 	}
-	for relay, o := range h.orphaned {
-		if now.Sub(o.since) >= orphanAfter {
-			delete(h.orphaned, relay)
-			nodes = append(nodes, h.orphans(o.dataCentre)...)
+	return append(h.lose(now, false, lost), h.loseOrphans(now)...)
+}
+
+// loseOrphans marks the servers as lost that silent relays vouched for and
+// nobody else does. It holds for this relay's own nodes: each relay concludes
+// for itself, since a relay may be cut off from here only.
+func (h *Hub) loseOrphans(now clock.Time) []Send {
+	var sends []Send
+	for _, name := range slices.Sorted(maps.Keys(h.orphaned)) {
+		o := h.orphaned[name]
+		age := now.Sub(o.since)
+		if age >= doubtAfter && !o.doubted {
+			o.doubted = true
+			o.suspects = h.orphans(name)
+			sends = append(sends, h.ask(o.suspects)...)
+		}
+		if age >= orphanAfter {
+			delete(h.orphaned, name)
+			sends = append(sends, h.lose(now, true, o.suspects)...)
 		}
 	}
-	slices.Sort(nodes)
-	return h.lose(now, slices.Compact(nodes))
+	return sends
 }
 
-// orphans returns the nodes of the data centre that are not linked here, when
-// no other relay there vouches for them.
-func (h *Hub) orphans(dataCentre string) []string {
-	if h.hasRelayLink(dataCentre) {
-		return nil
-	}
-	var nodes []string
-	for _, r := range h.directory.Records() {
-		if _, linked := h.links[r.Node]; r.DataCentre == dataCentre && !linked {
-			nodes = append(nodes, r.Node)
-		}
+// ask asks the other relays for servers that nobody here vouches for.
+func (h *Hub) ask(suspects []server.Record) []Send {
+	var lost []server.Record
+	for _, r := range suspects {
+		lost = append(lost, r.WithState(server.Lost))
 	}
-	return nodes
+	return h.doubt("", lost)
 }
 
-func (h *Hub) hasRelayLink(dataCentre string) bool {
-	for _, l := range h.links {
-		if l.hello.Relay && l.hello.DataCentre == dataCentre {
-			return true
+// orphans returns the servers whose nodes the relay vouched for last and that
+// are not linked here.
+func (h *Hub) orphans(relay string) []server.Record {
+	var records []server.Record
+	for _, r := range h.directory.Records() {
+		if _, linked := h.links[r.Node]; h.via[r.Node] == relay && !linked && r.State < server.Lost {
+			records = append(records, r)
 		}
 	}
-	return false
+	return records
 }
 
-func (h *Hub) lose(now clock.Time, nodes []string) []Send {
+// lose marks the servers as lost whose records have not changed since they were
+// noted; here, for the nodes linked to this relay only.
+func (h *Hub) lose(now clock.Time, here bool, noted []server.Record) []Send {
+	slices.SortFunc(noted, func(a, b server.Record) int { return cmp.Compare(a.Node, b.Node) })
 	var lost []server.Record
-	for _, node := range nodes {
-		if r, ok := h.directory.Record(node); ok && r.State < server.Lost {
+	for _, r := range noted {
+		if current, ok := h.directory.Record(r.Node); ok && current == r && r.State < server.Lost {
 			lost = append(lost, r.WithState(server.Lost))
 		}
 	}
 	if len(lost) == 0 {
 		return nil
 	}
-	return h.merge(now, "", false, lost)
+	return h.merge(now, "", here, lost)
 }
 
 // forget drops the servers that left long ago, and crash reports past their
@@ -150,6 +247,7 @@
 		}
 		delete(h.departed, node)
 		h.directory = h.directory.Without(node)
+		delete(h.via, node)
 	}
 	h.register = h.register.WithoutExpired(now)
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -29,6 +29,7 @@
 	Reports     []quarantine.Report `cbor:"9,keyasint,omitempty"`
 	Refused     uint64              `cbor:"10,keyasint,omitempty"`
 	Reason      string              `cbor:"11,keyasint,omitempty"`
+	Linked      []string            `cbor:"12,keyasint,omitempty"` // of a relay: the nodes linked to it
 }
 
 // Push carries a head and the chunks that the node lacks.
@@ -49,14 +50,22 @@
 	Reason  string `cbor:"3,keyasint,omitempty"`
 }
 
-// Notice tells another relay which version this one has.
+// Notice tells another relay which version this one has, and the digest of its
+// directory.
 type Notice struct {
 	Version uint64 `cbor:"1,keyasint"`
+	Digest  uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Members carries records of servers that changed.
+// Members carries records of servers that changed. With Doubt, the sender is
+// about to take the servers for lost: a relay that one's node is linked to has
+// it refuted, and others ignore the message. With Whole, the records are the
+// view of the relay that the node follows from now on.
 type Members struct {
 	Records []server.Record `cbor:"1,keyasint"`
+	Doubt   bool            `cbor:"2,keyasint,omitempty"`
+	Linked  []string        `cbor:"3,keyasint,omitempty"` // of a relay: the nodes linked to it
+	Whole   bool            `cbor:"4,keyasint,omitempty"`
 }
 
 // Reports carries crashes with the requests that were in flight.
--- /dev/null
+++ b/relay/relay_bench_test.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/geraniumdock/geraniumdock/server"
+	"github.com/geraniumdock/geraniumdock/table"
+)
+
+const benchCallers = 20
+
+// benchHistory is a table of the given number of services with 20 callers
+// each, and a change of one cell on top.
+func benchHistory(b *testing.B, services int) *history {
+	h := &history{chunks: table.Chunks{}, heads: []table.Head{{}}}
+	e := table.Edit{ID: "first"}
+	for c := range benchCallers {
+		e.Changes = append(e.Changes, table.Change{Key: table.Key{Sheet: table.Callers, Row: fmt.Sprint("c", c), Column: "token-sha256"}, Value: fmt.Sprintf("%064x", c+1)})
+	}
+	for s := range services {
+		name := fmt.Sprint("s", s)
+		e.Changes = append(e.Changes, table.Change{Key: table.Key{Sheet: table.Services, Row: name, Column: "routes"}, Value: "/" + name})
+		for c := range benchCallers {
+			e.Changes = append(e.Changes,
+				table.Change{Key: table.RowKey(fmt.Sprint("c", c), name, "weight"), Value: "2"},
+				table.Change{Key: table.RowKey(fmt.Sprint("c", c), name, "timeout"), Value: "10s"})
+		}
+	}
+	h.commit(b, e)
+	h.commit(b, table.Edit{ID: "second", Changes: []table.Change{{Key: table.RowKey("c1", "s1", "weight"), Value: "3", Read: 1}}})
+	return h
+}
+
+// BenchmarkHubPush measures a relay's work for one change of a cell: the pushes
+// with their encoding, and the acknowledgements, by number of links.
+func BenchmarkHubPush(b *testing.B) {
+	h := benchHistory(b, 44)
+	for _, links := range []int{16, 32, 64, 256} {
+		b.Run(fmt.Sprintf("links=%d", links), func(b *testing.B) {
+			var bytes int
+			for range b.N {
+				b.StopTimer()
+				hub := newHub("hub", 1)
+				hub.SetHead(0, h.heads[1], h.chunks)
+				hub.Tick(1)
+				var held []table.Hash
+				for _, r := range h.heads[1].Refs {
+					held = append(held, r.Hash)
+				}
+				for i := range links {
+					hub.Join(1, &Hello{Node: fmt.Sprint("n", i), Version: 1, Held: held})
+				}
+				b.StartTimer()
+				hub.SetHead(2, h.heads[2], h.chunks)
+				encoded := map[Message][]byte{}
+				for _, s := range hub.Tick(3) {
+					if encoded[s.Message] == nil {
+						encoded[s.Message], _ = Encode(s.Message)
+					}
+					bytes += len(encoded[s.Message])
+					hub.Handle(3, s.To, &Ack{Version: 2})
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "us/change")
+			b.ReportMetric(float64(bytes)/float64(b.N*links), "bytes/link-change")
+		})
+	}
+}
+
+// BenchmarkAdopt measures a node's work to take over a change of one cell.
+func BenchmarkAdopt(b *testing.B) {
+	for _, services := range []int{11, 44, 176} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			h := benchHistory(b, services)
+			full := &Push{Head: h.heads[1], Chunks: all(h)}
+			for range b.N {
+				b.StopTimer()
+				f := NewFollower("n", "dc", 1)
+				f.Handle(full)
+				b.StartTimer()
+				f.Handle(&Push{Head: h.heads[2], Chunks: all(h)})
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "us/change")
+		})
+	}
+}
+
+// BenchmarkMembership measures a node's work for one changed record and the
+// memory of the directory, by number of servers.
+func BenchmarkMembership(b *testing.B) {
+	for _, servers := range []int{100, 450, 1800} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			f := NewFollower("n", "dc", 1)
+			var records []server.Record
+			for i := range servers {
+				records = append(records, server.Record{Node: fmt.Sprintf("node-%04d", i), Service: fmt.Sprint("s", i%44), DataCentre: "dc", Region: "r", Address: fmt.Sprintf("10.0.0.%d:8443", i), Incarnation: 1, Sequence: 1})
+			}
+			f.Handle(&Members{Records: records})
+			records = nil
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ResetTimer()
+			for i := range b.N {
+				f.Handle(&Members{Records: []server.Record{{Node: "node-0001", Incarnation: 2, Sequence: uint64(i)}}})
+				f.Directory().Serving()
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "us/record")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(servers), "heap-bytes/server")
+		})
+	}
+}
--- a/server/record.go
+++ b/server/record.go
@@ -103,6 +103,22 @@
 	return Directory{merged, d.generation + 1}, newer
 }
 
+// WithView returns the directory with the records merged in, where a record of
+// the same version as an own one replaces it. Whether a server is lost is a
+// conclusion of the relay that is followed, and another relay may differ.
+func (d Directory) WithView(records []Record) Directory {
+	next := Directory{maps.Clone(d.records), d.generation + 1}
+	if next.records == nil {
+		next.records = map[string]Record{}
+	}
+	for _, r := range records {
+		if old, ok := next.records[r.Node]; !ok || r.Compare(old.WithState(r.State)) >= 0 {
+			next.records[r.Node] = r
+		}
+	}
+	return next
+}
+
 // Record returns the record of node.
 func (d Directory) Record(node string) (Record, bool) {
 	r, ok := d.records[node]
