--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -16,14 +15,10 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
 	"github.com/geraniumdock/geraniumdock/platform"
 )
 
-func init() {
-	flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	flag.Set("rapid.nofailfile", "true")
-}
-
 // perSecond is high enough for tests not to wait.
 const perSecond = 1000
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -14,14 +13,10 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
 	"github.com/geraniumdock/geraniumdock/platform"
 )
 
-func init() {
-	flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	flag.Set("rapid.nofailfile", "true")
-}
-
 const key = "relay/dc/0"
 
 // candidate steps a lease against a store at once.
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,13 +11,9 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
 )
 
-func init() {
-	flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	flag.Set("rapid.nofailfile", "true")
-}
-
 var callsAtOnce = Key{Caller: "a", Dimension: Concurrency}
 
 // holder is a node of the model. What it enforces is what counts, whatever the
--- a/node/call_bench_test.go
+++ b/node/call_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -143,6 +144,49 @@
 	}
 }
 
+// BenchmarkEcho measures one byte to and fro over a loopback connection between
+// two goroutines: two wake-ups. It is the floor below every hop of a call.
+func BenchmarkEcho(b *testing.B) {
+	for _, rate := range []int{50, 300} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				if c, err := l.Accept(); err == nil {
+					io.Copy(c, c)
+					c.Close()
+				}
+			}()
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			var times []time.Duration
+			tick := time.NewTicker(time.Second / time.Duration(rate))
+			defer tick.Stop()
+			buf := make([]byte, 1)
+			for range 5 * rate * b.N {
+				<-tick.C
+				began := monotonic()
+				if _, err := c.Write(buf); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := io.ReadFull(c, buf); err != nil {
+					b.Fatal(err)
+				}
+				times = append(times, monotonic()-began)
+			}
+			slices.Sort(times)
+			b.ReportMetric(at(times, 50), "echo-p50-us")
+			b.ReportMetric(at(times, 99), "echo-p99-us")
+		})
+	}
+}
+
 // BenchmarkNodeRate drives one ingress as hard as it goes.
 func BenchmarkNodeRate(b *testing.B) {
 	p := newPath(b, 3, 64)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"testing"
@@ -11,13 +10,9 @@
 	"pgregory.net/rapid"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
 )
 
-func init() {
-	flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	flag.Set("rapid.nofailfile", "true")
-}
-
 const never = time.Duration(math.MaxInt64 / 4)
 
 func item(id uint64, caller string, weight int) Item {
--- a/relay/follower.go
+++ b/relay/follower.go
@@ -25,6 +25,7 @@
 
 	own       server.Record // the server beside the node, with sequence 0 for none
 	directory server.Directory
+	departed  map[string]clock.Time // servers that left, by when this was seen
 	register  quarantine.Register
 	seats     []Seat
 }
@@ -32,7 +33,7 @@
 // NewFollower returns the state of a node that has nothing yet. The
 // incarnation must be above that of any earlier process of the node.
 func NewFollower(node, dataCentre string, incarnation uint64) *Follower {
-	return &Follower{node: node, dataCentre: dataCentre, incarnation: incarnation}
+	return &Follower{node: node, dataCentre: dataCentre, incarnation: incarnation, departed: map[string]clock.Time{}}
 }
 
 // Version returns the version that the node enforces, 0 for none.
@@ -130,8 +131,22 @@
 	return &Reports{Reports: added}
 }
 
-// Expire drops crash reports past their term.
-func (f *Follower) Expire(now clock.Time) { f.register = f.register.WithoutExpired(now) }
+// Expire drops crash reports past their term, and servers that left long ago.
+func (f *Follower) Expire(now clock.Time) {
+	f.register = f.register.WithoutExpired(now)
+	for _, r := range f.directory.Records() {
+		if r.State < server.Lost {
+			delete(f.departed, r.Node)
+			continue
+		}
+		if since, ok := f.departed[r.Node]; !ok {
+			f.departed[r.Node] = now
+		} else if now.Sub(since) >= forgetAfter {
+			delete(f.departed, r.Node)
+			f.directory = f.directory.Without(r.Node)
+		}
+	}
+}
 
 // Handle takes a message from the relay and returns the answers.
 func (f *Follower) Handle(m Message) []Message {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -14,16 +13,12 @@
 
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 	"github.com/geraniumdock/geraniumdock/table"
 )
 
-func init() {
-	flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	flag.Set("rapid.nofailfile", "true")
-}
-
 // history is a table's versions as the platform would hold them.
 type history struct {
 	table  table.Table
@@ -402,6 +397,19 @@
 	is.Equal(r.State, server.Up)
 }
 
+func TestServersThatLeftAreForgotten(t *testing.T) {
+	is := is.New(t)
+	f := NewFollower("n", "dc", 1)
+	gone, up := record("gone", server.Gone), record("up", server.Up)
+	gone.Node, up.Node = "gone", "up"
+	f.Handle(&Members{Records: []server.Record{gone, up}})
+	f.Expire(0)
+	f.Expire(clock.Time(0).Add(forgetAfter - 1))
+	is.Equal(len(f.Directory().Records()), 2)
+	f.Expire(clock.Time(0).Add(forgetAfter))
+	is.Equal(len(f.Directory().Records()), 1)
+}
+
 func TestOneNodeIsInvitedToAVacantSeat(t *testing.T) {
 	is := is.New(t)
 	h := newHub("relay", 1)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,21 +1,16 @@
 package server
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
-func init() {
-	flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	flag.Set("rapid.nofailfile", "true")
-}
-
 // TestCrossedUpdatesMergeAlike merges the same records in two orders, with
 // repeats, and compares with a model that keeps the newest of each node.
 func TestCrossedUpdatesMergeAlike(t *testing.T) {
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -12,13 +11,9 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
 )
 
-func init() {
-	flag.Set("rapid.seed", "20261204") // the same verdict on every run
-	flag.Set("rapid.nofailfile", "true")
-}
-
 func tokenOf(n int) string { return fmt.Sprintf("%064x", n+1) }
 
 // sample is an edit that makes a valid table of callers a, b and services s, u.
