The operators' API in a package of its own, for node and command line alike

The forms of the API stood twice, in the node and in the command line. Close now waits for calls to the platform and for the services of the relay's role.

--- a/cmd/geraniumdock/operator.go
+++ b/cmd/geraniumdock/operator.go
@@ -2,111 +2,54 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
-	"net/url"
 	"os"
 	"os/user"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/operator"
 	"github.com/geraniumdock/geraniumdock/settings"
 	"github.com/geraniumdock/geraniumdock/table"
 )
 
-const operatorTimeout = 15 * time.Second
-
-// operator are the options of the commands that talk to a node.
-type operator struct {
+// options are the options of the commands that talk to a node.
+type options struct {
 	Operator  string `long:"operator" value-name:"HOST:PORT" default:"127.0.0.1:8081" env:"GERANIUMDOCK_OPERATOR" description:"operator address of a node"`
 	TokenFile string `long:"token-file" value-name:"FILE" env:"GERANIUMDOCK_TOKEN_FILE" description:"file with the operator token, if the node asks for one"`
 	JSON      bool   `long:"json" description:"print JSON"`
 }
 
-// call sends a request to the node and decodes its answer. The raw answer is
-// printed instead with --json.
-func (o *operator) call(method, path string, body, into any) error {
-	data, err := o.exchange(method, path, body)
-	if err != nil {
-		return err
+// client returns a client of the node, which prints its answers with --json.
+func (o *options) client() (*operator.Client, error) {
+	c, err := o.quiet()
+	if err == nil && o.JSON {
+		c.Copy = os.Stdout
 	}
-	if err := json.Unmarshal(data, into); err != nil {
-		return gd.Unavailable.Errorf("node %s: unexpected answer", o.Operator)
-	}
-	if o.JSON {
-		os.Stdout.Write(data)
-	}
-	return nil
+	return c, err
 }
 
-func (o *operator) exchange(method, path string, body any) ([]byte, error) {
+// quiet returns a client of the node for what is not the command's answer.
+func (o *options) quiet() (*operator.Client, error) {
 	token, err := settings.ReadToken(o.TokenFile, "--token-file")
 	if err != nil {
 		return nil, err
 	}
-	data, err := json.Marshal(body)
-	if err != nil {
-		return nil, gd.Internal.Wrapf(err, "request")
-	}
-	req, err := http.NewRequest(method, "http://"+o.Operator+path, bytes.NewReader(data))
-	if err != nil {
-		return nil, gd.Invalid.Errorf("--operator %s: not host:port", o.Operator)
-	}
-	req.GetBody = nil // edits carry an id, but are repeated by the operator only
-	if token != "" {
-		req.Header.Set("Authorization", "Bearer "+token)
-	}
-	client := &http.Client{Timeout: operatorTimeout}
-	res, err := client.Do(req)
-	if err != nil {
-		return nil, gd.Unavailable.Errorf("node %s is not reached: %s", o.Operator, err)
-	}
-	defer res.Body.Close()
-	return o.answer(res)
+	return &operator.Client{Address: o.Operator, Token: token}, nil
 }
 
-func (o *operator) answer(res *http.Response) ([]byte, error) {
-	data, err := io.ReadAll(res.Body)
+// current reads the table.
+func (o *options) current() (table.Document, error) {
+	c, err := o.quiet()
 	if err != nil {
-		return nil, gd.Unavailable.Errorf("node %s: the answer broke off", o.Operator)
-	}
-	if res.StatusCode == http.StatusOK {
-		return data, nil
-	}
-	var e struct {
-		Error   string `json:"error"`
-		Message string `json:"message"`
+		return table.Document{}, err
 	}
-	if json.Unmarshal(data, &e) != nil || e.Error == "" {
-		return nil, gd.Internal.Errorf("node %s: %s", o.Operator, strings.TrimSpace(string(data)))
-	}
-	return nil, gd.KindNamed(e.Error).Errorf("%s", e.Message)
-}
-
-// tableReply is the answer with the table.
-type tableReply struct {
-	Version uint64 `json:"version"`
-	Cells   []struct {
-		Sheet  string `json:"sheet"`
-		Row    string `json:"row"`
-		Column string `json:"column"`
-		Value  string `json:"value"`
-	} `json:"cells"`
-}
-
-func (t tableReply) document() table.Document {
-	d := table.Document{Version: t.Version, Sheets: []table.Sheet{table.Services, table.Callers, table.Rows}}
-	for _, c := range t.Cells {
-		d.Entries = append(d.Entries, table.Entry{Key: table.Key{Sheet: table.Sheet(c.Sheet), Row: c.Row, Column: c.Column}, Value: c.Value})
-	}
-	return d
+	return c.Table(context.Background())
 }
 
 // print lays out tab-separated lines.
@@ -120,18 +63,21 @@
 }
 
 type getCommand struct {
-	operator
+	options
 	Format string `long:"format" choice:"text" choice:"csv" choice:"yaml" default:"text" description:"form of the table"`
 	Sheet  string `long:"sheet" choice:"rows" choice:"services" choice:"callers" default:"rows" description:"sheet for text and csv"`
 }
 
 // Execute prints the table.
 func (c *getCommand) Execute([]string) error {
-	var t tableReply
-	if err := c.call(http.MethodGet, "/v1/table", nil, &t); err != nil || c.JSON {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	d, err := client.Table(context.Background())
+	if err != nil || c.JSON {
 		return err
 	}
-	d := t.document()
 	switch c.Format {
 	case "csv":
 		return d.WriteCSV(os.Stdout, table.Sheet(c.Sheet))
@@ -146,53 +92,34 @@
 	for i := range lines {
 		lines[i] = strings.ReplaceAll(lines[i], ",", "\t")
 	}
-	fmt.Printf("version %d\n", t.Version)
+	fmt.Printf("version %d\n", d.Version)
 	print(lines[1], lines[2:])
 	return nil
 }
 
 // editOptions are the options of commands that change the table.
 type editOptions struct {
-	operator
+	options
 	Read      uint64 `long:"read-version" value-name:"N" description:"version that the change is based on; default: the current one, or the file's"`
 	Author    string `long:"author" value-name:"NAME" description:"who edits; default: the user's name"`
 	RequestID string `long:"request-id" value-name:"ID" description:"id of an edit that is repeated after an unknown outcome"`
 }
 
-type wireChange struct {
-	Sheet  string `json:"sheet"`
-	Row    string `json:"row"`
-	Column string `json:"column,omitempty"`
-	Value  string `json:"value,omitempty"`
-	Remove bool   `json:"remove,omitempty"`
-	Read   uint64 `json:"read"`
-}
-
-type wireEdit struct {
-	ID      string       `json:"id"`
-	Author  string       `json:"author"`
-	Changes []wireChange `json:"changes"`
-}
-
 func (o *editOptions) commit(changes []table.Change) error {
 	if len(changes) == 0 {
 		fmt.Fprintln(os.Stderr, "nothing differs")
 		return nil
 	}
-	e := wireEdit{ID: o.id(), Author: o.author()}
-	for _, c := range changes {
-		if o.Read > 0 {
-			c.Read = o.Read
+	if o.Read > 0 {
+		for i := range changes {
+			changes[i].Read = o.Read
 		}
-		e.Changes = append(e.Changes, wireChange{string(c.Key.Sheet), c.Key.Row, c.Key.Column, c.Value, c.Remove, c.Read})
-	}
-	var receipt struct {
-		Version uint64 `json:"version"`
 	}
-	err := o.call(http.MethodPost, "/v1/edits", e, &receipt)
-	if gd.Unavailable.Is(err) {
-		return gd.Unknown.Wrapf(err, "the outcome is not known; repeat with --request-id %s, which is safe", e.ID)
+	client, err := o.client()
+	if err != nil {
+		return err
 	}
+	receipt, err := client.Commit(context.Background(), table.Edit{ID: o.id(), Author: o.author(), Changes: changes})
 	if err != nil || o.JSON {
 		return err
 	}
@@ -230,13 +157,11 @@
 func (c *setCommand) Execute([]string) error {
 	read := c.Read
 	if read == 0 {
-		quiet := c.operator
-		quiet.JSON = false
-		var t tableReply
-		if err := quiet.call(http.MethodGet, "/v1/table", nil, &t); err != nil {
+		d, err := c.current()
+		if err != nil {
 			return err
 		}
-		read = t.Version
+		read = d.Version
 	}
 	var changes []table.Change
 	for _, cell := range c.Args.Cells {
@@ -264,13 +189,11 @@
 	if err != nil {
 		return err
 	}
-	quiet := c.operator
-	quiet.JSON = false
-	var t tableReply
-	if err := quiet.call(http.MethodGet, "/v1/table", nil, &t); err != nil {
+	current, err := c.current()
+	if err != nil {
 		return err
 	}
-	return c.commit(d.Changes(t.document(), c.Prune))
+	return c.commit(d.Changes(current, c.Prune))
 }
 
 // readDocument reads a table file by its ending.
@@ -289,66 +212,52 @@
 
 // Execute has the node commit the table in force there again.
 func (c *restoreCommand) Execute([]string) error {
-	var receipt struct {
-		Version uint64 `json:"version"`
+	client, err := c.client()
+	if err != nil {
+		return err
 	}
-	e := wireEdit{ID: c.id(), Author: c.author()}
-	if err := c.call(http.MethodPost, "/v1/restore", e, &receipt); err != nil || c.JSON {
+	receipt, err := client.Restore(context.Background(), c.id(), c.author())
+	if err != nil || c.JSON {
 		return err
 	}
 	fmt.Printf("restored as version %d\n", receipt.Version)
 	return nil
 }
 
-type historyCommand struct{ operator }
+type historyCommand struct{ options }
 
 // Execute lists the versions.
 func (c *historyCommand) Execute([]string) error {
-	var records []struct {
-		Version uint64   `json:"version"`
-		Author  string   `json:"author"`
-		At      int64    `json:"at-ms"`
-		Cells   []string `json:"cells"`
+	client, err := c.client()
+	if err != nil {
+		return err
 	}
-	if err := c.call(http.MethodGet, "/v1/history", nil, &records); err != nil || c.JSON {
+	records, err := client.History(context.Background())
+	if err != nil || c.JSON {
 		return err
 	}
 	var lines []string
 	for _, r := range records {
-		at := time.UnixMilli(r.At).UTC().Format(time.RFC3339)
-		lines = append(lines, fmt.Sprintf("%d\t%s\t%s\t%s", r.Version, at, r.Author, strings.Join(r.Cells, ", ")))
+		lines = append(lines, fmt.Sprintf("%d\t%s\t%s\t%s", r.Version, r.At, r.Author, strings.Join(r.Cells, ", ")))
 	}
 	print("VERSION\tTIME\tAUTHOR\tCELLS", lines)
 	return nil
 }
 
 type statusCommand struct {
-	operator
+	options
 	Service string `long:"service" value-name:"S" description:"only rows of this service"`
 	Caller  string `long:"caller" value-name:"C" description:"only rows of this caller"`
 }
 
 // Execute tells where each row is in force.
 func (c *statusCommand) Execute([]string) error {
-	var s struct {
-		Version uint64 `json:"version"`
-		Rows    []struct {
-			Caller  string   `json:"caller"`
-			Service string   `json:"service"`
-			Version uint64   `json:"version"`
-			InForce int      `json:"in-force"`
-			Nodes   int      `json:"nodes"`
-			Lagging []string `json:"lagging"`
-		} `json:"rows"`
-		Nodes []struct {
-			Node    string `json:"node"`
-			Refused uint64 `json:"refused"`
-			Reason  string `json:"reason"`
-		} `json:"nodes"`
-		Silent []string `json:"silent-relays"`
-	}
-	q := url.Values{"service": {c.Service}, "caller": {c.Caller}}
-	if err := c.call(http.MethodGet, "/v1/status?"+q.Encode(), nil, &s); err != nil || c.JSON {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Status(context.Background(), c.Caller, c.Service)
+	if err != nil || c.JSON {
 		return err
 	}
 	fmt.Printf("version %d\n", s.Version)
@@ -368,33 +277,33 @@
 	return nil
 }
 
-type serversCommand struct{ operator }
+type serversCommand struct{ options }
 
 // Execute lists the backend servers.
 func (c *serversCommand) Execute([]string) error {
-	var servers []struct {
-		Node       string `json:"node"`
-		Service    string `json:"service"`
-		DataCentre string `json:"data-centre"`
-		Address    string `json:"address"`
-		Slots      int    `json:"slots"`
-		State      string `json:"state-name"`
-	}
-	if err := c.call(http.MethodGet, "/v1/servers", nil, &servers); err != nil || c.JSON {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	servers, err := client.Servers(context.Background())
+	if err != nil || c.JSON {
 		return err
 	}
 	var lines []string
 	for _, s := range servers {
-		lines = append(lines, strings.Join([]string{s.Node, s.Service, s.DataCentre, s.Address, strconv.Itoa(s.Slots), s.State}, "\t"))
+		lines = append(lines, strings.Join([]string{s.Node, s.Service, s.DataCentre, s.Address, strconv.Itoa(s.Slots), s.State.String()}, "\t"))
 	}
 	print("NODE\tSERVICE\tDATA CENTRE\tADDRESS\tSLOTS\tSTATE", lines)
 	return nil
 }
 
-type drainCommand struct{ operator }
+type drainCommand struct{ options }
 
 // Execute drains the server beside the node.
 func (c *drainCommand) Execute([]string) error {
-	var none struct{}
-	return c.call(http.MethodPost, "/v1/drain", none, &none)
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	return client.Drain(context.Background())
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -166,11 +166,11 @@
 }
 
 func (d *demo) printStatus(ctx context.Context) error {
-	rows, err := d.fleet.Nodes[0].RowStatus(ctx)
+	status, err := d.fleet.Nodes[0].Status(ctx)
 	if err != nil {
 		return err
 	}
-	for _, r := range rows {
+	for _, r := range status.Rows {
 		d.say("row %s/%s: version %d in force on %d of %d nodes", r.Caller, r.Service, r.Version, r.InForce, r.Nodes)
 	}
 	return nil
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -136,7 +136,7 @@
 func (f *Fleet) AwaitServers(ctx context.Context, service string, count int) error {
 	return Await(ctx, fmt.Sprintf("%d servers of %s on %d nodes", count, service, len(f.Nodes)), func() bool {
 		for _, n := range f.Nodes {
-			if n.Servers(service) != count {
+			if n.Serving(service) != count {
 				return false
 			}
 		}
--- a/node/call.go
+++ b/node/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -220,7 +221,7 @@
 		h.Set("Proxy-Authenticate", "Bearer")
 	}
 	w.WriteHeader(a.Status)
-	writeJSON(w, wireError{a.Name, string(a.Outcome), gd.Message(err), a.RetryAfter.Milliseconds()})
+	json.NewEncoder(w).Encode(wireError{a.Name, string(a.Outcome), gd.Message(err), a.RetryAfter.Milliseconds()})
 }
 
 // wireError is the body of an answer that the system itself gives.
@@ -231,6 +232,14 @@
 	RetryAfterMS int64  `json:"retry-after-ms,omitempty"`
 }
 
+func messageIn(data []byte, fallback string) string {
+	var e wireError
+	if json.Unmarshal(data, &e) != nil || e.Message == "" {
+		return fallback
+	}
+	return e.Message
+}
+
 // errorOf returns the error that another node answered with, or nil if the
 // answer is the backend server's.
 func errorOf(res *http.Response) error {
--- a/node/control.go
+++ b/node/control.go
@@ -383,7 +383,7 @@
 // reach. With a relay silent the answer is not taken, since that relay's nodes
 // may have a newer one.
 func (n *Node) fleetVersion(ctx context.Context) (uint64, error) {
-	reply, err := n.status(ctx)
+	reply, err := n.progress(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -397,8 +397,8 @@
 	return newest, nil
 }
 
-// status asks the node's relay for the progress of all nodes.
-func (n *Node) status(ctx context.Context) (*relay.StatusReply, error) {
+// progress asks the node's relay for the progress of all nodes.
+func (n *Node) progress(ctx context.Context) (*relay.StatusReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	answer := make(chan *relay.StatusReply, 1)
--- a/node/control_bench_test.go
+++ b/node/control_bench_test.go
@@ -125,11 +125,11 @@
 
 // acknowledged reports whether the relays know that all nodes enforce v.
 func (x *benchFleet) acknowledged(v uint64) bool {
-	nodes, err := x.Nodes[0].Status(x.ctx)
-	if err != nil || len(nodes) < len(x.Nodes) {
+	status, err := x.Nodes[0].Status(x.ctx)
+	if err != nil || len(status.Nodes) < len(x.Nodes) {
 		return false
 	}
-	for _, p := range nodes {
+	for _, p := range status.Nodes {
 		if p.Version < v {
 			return false
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -70,6 +70,7 @@
 	editor   *table.Editor
 	servers  struct{ calls, peers, operator, announce *http.Server }
 
+	tasks   sync.WaitGroup // calls to the platform and services of the relay's role
 	cancel  context.CancelFunc
 	stopped chan struct{} // the control goroutine has ended
 	stop    sync.Once
@@ -265,6 +266,7 @@
 	n.post(func(c *control) { c.release() })
 	n.cancel()
 	<-n.done
+	n.tasks.Wait()
 	n.closeListeners()
 	n.peers.CloseIdleConnections()
 	n.station.close()
@@ -289,6 +291,7 @@
 		n.cancel()
 		n.closeListeners()
 		<-n.done
+		n.tasks.Wait()
 		n.peers.CloseIdleConnections()
 		n.station.close()
 	})
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -397,7 +397,7 @@
 		x.Nodes[0].Close()
 		close(closed)
 	}()
-	x.await("others see it leave", func() bool { return x.Nodes[1].Servers("tags") == 2 })
+	x.await("others see it leave", func() bool { return x.Nodes[1].Serving("tags") == 2 })
 	select {
 	case <-closed:
 		t.Fatal("closed with calls in flight")
--- a/node/role.go
+++ b/node/role.go
@@ -77,10 +77,10 @@
 	switch step.Action {
 	case lease.Read:
 		s.busy = true
-		go c.n.readSeat(ctx, s)
+		c.n.tasks.Go(func() { c.n.readSeat(ctx, s) })
 	case lease.Write:
 		s.busy = true
-		go c.n.writeSeat(ctx, s, step)
+		c.n.tasks.Go(func() { c.n.writeSeat(ctx, s, step) })
 	}
 }
 
@@ -142,13 +142,9 @@
 	}
 	c.deliver(c.hub.Join(c.now(), c.follower.Hello()))
 	ctx, cancel := context.WithCancel(ctx)
-	var services sync.WaitGroup
-	services.Go(func() { c.n.watchHead(ctx) })
-	services.Go(func() { c.n.watchSeats(ctx) })
-	c.role = func() {
-		cancel()
-		go services.Wait()
-	}
+	c.n.tasks.Go(func() { c.n.watchHead(ctx) })
+	c.n.tasks.Go(func() { c.n.watchSeats(ctx) })
+	c.role = cancel
 }
 
 // endRole makes the node an ordinary one again and sends its links elsewhere.
@@ -390,7 +386,7 @@
 	}
 	limits := limitsOf(policy.Services[a.Service])
 	n := c.n
-	go func() {
+	n.tasks.Go(func() {
 		shares, err := n.settleAsks(from, a, limits)
 		if err != nil {
 			n.log.Warn("shares not handed out", "service", a.Service, "node", from, "error", err)
@@ -402,7 +398,7 @@
 				c.deliver([]relay.Send{{To: from, Message: &relay.Shares{Shares: shares, Serial: a.Serial}}})
 			}
 		})
-	}()
+	})
 }
 
 // settleAsks writes the pool before the shares are handed out. After a lost
