--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -22,7 +22,7 @@
 	loopback      = "127.0.0.1:0"
 	storeRate     = 50
 	claimWrites   = 10
-	readyTimeout  = 15 * time.Second
+	readyTimeout  = 45 * time.Second
 	readyPoll     = 20 * time.Millisecond
 	drainWait     = 10 * time.Second
 	defaultGather = 100 * time.Millisecond
--- a/link/link.go
+++ b/link/link.go
@@ -24,17 +24,27 @@
 // Bounds of a link.
 const (
 	MaxMessageBytes  = 16 << 20
-	idleTimeout      = 4 * time.Second
-	keepAlive        = 1500 * time.Millisecond
 	handshakeTimeout = time.Second
 	sendTimeout      = 5 * time.Second
 	headerBytes      = 4
 )
 
-func config() *quic.Config {
+// Probing says how often a link is probed and how long it may be silent.
+type Probing struct {
+	Every, Silence time.Duration
+}
+
+// Probing of the links that nodes and relays open to relays. A relay has tens
+// of each, and each probe costs about 180 bytes both ways.
+var (
+	NodeProbing  = Probing{2500 * time.Millisecond, 7 * time.Second}
+	RelayProbing = Probing{5 * time.Second, 12 * time.Second}
+)
+
+func config(p Probing) *quic.Config {
 	return &quic.Config{
-		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAlive,
+		MaxIdleTimeout:       p.Silence,
+		KeepAlivePeriod:      p.Every,
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIncomingStreams:   1,
 	}
@@ -43,7 +53,7 @@
 // serverConfig leaves the keep-alive to the side that opened the link: one
 // side's probes and their acknowledgements tell both that the other lives.
 func serverConfig() *quic.Config {
-	c := config()
+	c := config(RelayProbing)
 	c.KeepAlivePeriod = 0
 	return c
 }
@@ -153,13 +163,13 @@
 	return &Endpoint{id: id, local: local, listener: l, live: map[*quic.Conn]bool{}}, nil
 }
 
-// Dial opens a link to address.
-func (e *Endpoint) Dial(ctx context.Context, address string) (*Conn, error) {
+// Dial opens a link to address, with the given probing.
+func (e *Endpoint) Dial(ctx context.Context, address string, p Probing) (*Conn, error) {
 	to, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, gd.Invalid.Wrapf(err, "relay address %s", address)
 	}
-	c, err := dial(ctx, e.local, to, e.id.TLS(Protocol))
+	c, err := dial(ctx, e.local, to, e.id.TLS(Protocol), config(p))
 	if err != nil {
 		return nil, gd.Unavailable.Wrapf(err, "link to %s", address)
 	}
@@ -167,10 +177,10 @@
 	return c, nil
 }
 
-func dial(ctx context.Context, local *quic.Transport, to net.Addr, t *tls.Config) (*Conn, error) {
+func dial(ctx context.Context, local *quic.Transport, to net.Addr, t *tls.Config, c *quic.Config) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	conn, err := local.Dial(ctx, to, t, config())
+	conn, err := local.Dial(ctx, to, t, c)
 	if err != nil {
 		return nil, err
 	}
--- a/node/role.go
+++ b/node/role.go
@@ -282,7 +282,7 @@
 func (n *Node) linkRelay(ctx context.Context, s relay.Seat) {
 	rnd := n.random(5)
 	for ctx.Err() == nil {
-		if conn, err := n.endpoint.Dial(ctx, s.Address); err == nil {
+		if conn, err := n.endpoint.Dial(ctx, s.Address, link.RelayProbing); err == nil {
 			n.peerWithRelay(ctx, conn)
 		}
 		sleep(ctx, firstPause+time.Duration(rnd.Int64N(int64(maxPause))))
--- a/node/uplink.go
+++ b/node/uplink.go
@@ -211,7 +211,7 @@
 // followRelay links to the relay and follows it until the link ends. It
 // reports whether the link came about.
 func (n *Node) followRelay(ctx context.Context, s relay.Seat) bool {
-	conn, err := n.endpoint.Dial(ctx, s.Address)
+	conn, err := n.endpoint.Dial(ctx, s.Address, link.NodeProbing)
 	if err != nil {
 		n.log.Debug("relay not reached", "relay", s.Node, "address", s.Address, "error", err)
 		n.post(func(c *control) { c.failed[s.Address] = c.now() })
--- a/relay/members_test.go
+++ b/relay/members_test.go
@@ -219,6 +219,26 @@
 	}
 }
 
+// TestNewsMissedDuringACutComeThroughAnotherRelay lets a node move to a relay
+// that one other relay is cut off from, and both die before the cut ends.
+func TestNewsMissedDuringACutComeThroughAnotherRelay(t *testing.T) {
+	r := newRegion(t)
+	r.tick(100 * time.Millisecond)
+	r.cut[pair("h0", "h3")] = true
+	r.tick(100 * time.Millisecond)
+	r.link("n1", "h3")
+	r.tick(100 * time.Millisecond)
+	r.kill("n1")
+	r.tick(lostAfter)
+	r.kill("h3")
+	for range 100 {
+		r.tick(500 * time.Millisecond)
+	}
+	if rec, ok := r.hubs["h0"].directory.Record("n1"); ok && rec.State == server.Up {
+		t.Fatalf("h0 still has %v", rec)
+	}
+}
+
 // TestRegionsApart cuts one data centre's relays off from one other relay only.
 // The relay between them must not lose servers that it still reaches.
 func TestRegionsApart(t *testing.T) {
