Ask for shares less often

Cause: a node asked whenever its demand moved by a fifth, which Poisson arrivals do all the time; each ask costs the platform a read and a write.

--- /dev/null
+++ b/limit/limit_bench_test.go
@@ -0,0 +1,42 @@
+package limit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// BenchmarkAsks counts the asks of ten nodes that share the rate and the
+// concurrency limit of one caller under Poisson arrivals. Each ask is a read
+// and a write of the platform.
+func BenchmarkAsks(b *testing.B) {
+	const nodes, length = 10, 10 * time.Minute
+	rate := Key{Caller: "a", Dimension: Rate}
+	for _, calls := range []float64{1, 10, 100} {
+		b.Run(fmt.Sprintf("calls=%g", calls), func(b *testing.B) {
+			for range b.N {
+				rnd := rand.New(rand.NewPCG(1, 2))
+				limits := map[Key]int64{rate: 1000 * RateUnits, callsAtOnce: 100}
+				meters := make([]Meter, nodes)
+				for i := range meters {
+					meters[i].SetLimits(limits)
+				}
+				asks := 0
+				for now := time.Duration(0); now < length; now += 100 * time.Millisecond {
+					for i := range meters {
+						for n := calls / nodes / 10; rnd.Float64() < n; n-- {
+							if meters[i].Enter(now, "a") == nil {
+								meters[i].Leave("a")
+							}
+						}
+						if len(meters[i].Asks(now)) > 0 {
+							asks++
+						}
+					}
+				}
+				b.ReportMetric(float64(asks)/nodes/length.Seconds(), "asks/node-s")
+			}
+		})
+	}
+}
--- a/limit/meter.go
+++ b/limit/meter.go
@@ -10,7 +10,9 @@
 const (
 	burstTime  = 250 * time.Millisecond // how much unused rate is kept
 	demandHalf = 5 * time.Second        // half-life of the measured demand
-	askChange  = 0.2                    // relative change of demand that is worth an ask
+	askChange  = 0.5                    // relative change of demand that is worth an ask
+	askEvery   = 5 * time.Second        // least time between asks of one limit
+	settleTime = time.Second            // and while a share is being handed over
 	renewEvery = 15 * time.Minute
 )
 
@@ -109,14 +111,15 @@
 }
 
 // Asks returns the asks that are due, and notes that they were made. A node
-// asks when its demand changed by a fifth, when it holds less than the pool
-// may count, and to renew its shares.
+// asks when its demand changed by half, when it holds less than the pool may
+// count, and to renew its shares, but not more often than every askEvery: each
+// ask costs the platform a read and a write.
 func (m *Meter) Asks(now time.Duration) []Ask {
 	var asks []Ask
 	for k := range m.limits {
 		g := m.gauge(now, k)
 		g.decay(now)
-		if !g.due(now) {
+		if !g.due(now, k.Dimension) {
 			continue
 		}
 		g.asked, g.askedAt, g.holding = g.demand, now, g.share
@@ -125,9 +128,19 @@
 	return asks
 }
 
-func (g *gauge) due(now time.Duration) bool {
-	moved := math.Abs(g.demand-g.asked) > askChange*max(g.asked, 1)
-	return moved || g.holding != g.share || now-g.askedAt >= renewEvery
+func (g *gauge) due(now time.Duration, d Dimension) bool {
+	if g.holding != g.share {
+		return now-g.askedAt >= settleTime
+	}
+	if now-g.askedAt < askEvery {
+		return false
+	}
+	least := 1.0
+	if d == Rate {
+		least = RateUnits
+	}
+	moved := math.Abs(g.demand-g.asked) > askChange*max(g.asked, least)
+	return moved || now-g.askedAt >= renewEvery
 }
 
 // fill adds the tokens that the share earned since the last call.
