--- a/node/station.go
+++ b/node/station.go
@@ -19,8 +19,8 @@
 // Terms of a station.
 const (
 	announceTerm    = 5 * time.Second // a server that does not repeat its announcement in time is gone
-	stationTick     = 50 * time.Millisecond
-	announceTicks   = 10 // a server's end is passed on after at most this many ticks
+	stationTick     = 250 * time.Millisecond
+	announceTicks   = 2 // a server's end is passed on after at most this many ticks
 	dialTimeout     = time.Second
 	cancelGrace     = 50 * time.Millisecond // how long a server takes to stop a call that was cancelled
 	oldServer       = 2 * time.Second       // a server this much older than the node may still run earlier calls
