Spread nodes over both relays of a data centre

Cause: the first relay to take a seat was linked to by most nodes and stayed so; one process of 66 in a data centre used 0.88 % of a core, the other relay 0.48 %.

--- a/node/control.go
+++ b/node/control.go
@@ -235,7 +235,7 @@
 		c.seats = s.Seats
 	}
 	if s.Redirect {
-		c.n.log.Info("relay left: it is none any more", "relay", l.name)
+		c.n.log.Info("relay left: it named others", "relay", l.name)
 		l.close()
 	}
 }
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -14,17 +14,20 @@
 
 // Terms of a hub.
 const (
-	statusWait  = time.Second
-	lostAfter   = 2 * time.Second  // a node without a link is lost after this
-	orphanAfter = 4 * time.Second  // nodes of a silent relay have this long to link elsewhere
-	noticeEvery = 10 * time.Second // between notices to the other relays
-	syncEvery   = 30 * time.Second // between whole directories to a relay whose digest differs
-	doubtAfter  = 2 * time.Second  // and the other relays are asked for them after this
-	catchUp     = time.Second      // how long the platform's watch may lag behind another relay
-	inviteEvery = 5 * time.Second  // between invitations to a vacant seat
-	forgetEvery = 10 * time.Second
-	SeatsPerDC  = 2                // relays per data centre
-	forgetAfter = 10 * time.Minute // a server that left is forgotten after this
+	statusWait   = time.Second
+	lostAfter    = 2 * time.Second  // a node without a link is lost after this
+	orphanAfter  = 4 * time.Second  // nodes of a silent relay have this long to link elsewhere
+	noticeEvery  = 10 * time.Second // between notices to the other relays
+	syncEvery    = 30 * time.Second // between whole directories to a relay whose digest differs
+	doubtAfter   = 2 * time.Second  // and the other relays are asked for them after this
+	catchUp      = time.Second      // how long the platform's watch may lag behind another relay
+	balanceEvery = 5 * time.Second  // between moves of nodes to the other relay of the data centre
+	balanceSlack = 4                // difference in nodes that is left alone
+	balanceMoves = 4                // nodes moved at a time
+	inviteEvery  = 5 * time.Second  // between invitations to a vacant seat
+	forgetEvery  = 10 * time.Second
+	SeatsPerDC   = 2                // relays per data centre
+	forgetAfter  = 10 * time.Minute // a server that left is forgotten after this
 )
 
 // Send is a message to a linked node.
@@ -58,6 +61,7 @@
 	requests  map[uint64]*request
 	lastID    uint64
 	invited   clock.Time
+	balanced  clock.Time
 	forgot    clock.Time
 }
 
@@ -114,6 +118,7 @@
 	h.links[hello.Node] = l
 	delete(h.absent, hello.Node)
 	sends := h.merge(now, hello.Node, hello.Relay, hello.Records)
+	delete(h.via, hello.Node)
 	if hello.Relay {
 		h.vouch(hello.Node, hello.Linked)
 		delete(h.orphaned, hello.Node)
@@ -301,6 +306,7 @@
 	sends = append(sends, h.noticeAll(now)...)
 	sends = append(sends, h.expireRequests(now)...)
 	sends = append(sends, h.invite(now)...)
+	sends = append(sends, h.balance(now)...)
 	h.forget(now)
 	return sends
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -430,6 +430,42 @@
 	is.Equal(invited, 1) // the platform does not see the herd
 }
 
+func TestNodesAreSpreadOverTheRelaysOfADataCentre(t *testing.T) {
+	is := is.New(t)
+	h := newHub("relay", 1)
+	var theirs []string
+	for i := range 24 {
+		name := fmt.Sprint("n", i)
+		h.Join(0, &Hello{Node: name, DataCentre: "dc", Records: []server.Record{{Node: name, Incarnation: 1, Sequence: 1}}})
+	}
+	now := clock.Time(0)
+	moved := func() []string {
+		now = now.Add(balanceEvery)
+		var names []string
+		for _, s := range h.Tick(now) {
+			if m, ok := s.Message.(*Seats); ok && m.Redirect {
+				names = append(names, s.To)
+			}
+		}
+		return names
+	}
+	is.Equal(len(moved()), 0) // there is no other relay
+	h.Join(now, &Hello{Node: "other", DataCentre: "dc", Relay: true})
+	rounds := 0
+	for names := moved(); len(names) > 0; names = moved() {
+		is.True(len(names) <= balanceMoves)
+		rounds++
+		for _, name := range names { // it links to the other relay, which says so
+			h.Leave(now, name)
+			h.FromRelay(now, "other", &Members{Records: []server.Record{{Node: name, Incarnation: 1, Sequence: 2}}})
+			theirs = append(theirs, name)
+		}
+	}
+	is.True(rounds >= 2)
+	is.True(len(theirs) >= 24/2-balanceSlack && len(theirs) <= 24/2)
+	is.Equal(len(h.directory.Serving()[""]), 24) // nobody was lost
+}
+
 func TestLaggingWatchIsMadeGoodByAnotherRelay(t *testing.T) {
 	is := is.New(t)
 	h := newHistory(t)
--- a/relay/seats.go
+++ b/relay/seats.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/server"
 )
 
 // SetSeats replaces the list of relays and tells it to the links if it
@@ -60,3 +61,54 @@
 	}
 	return sends
 }
+
+// balance sends some nodes to the other relay of the data centre if that has
+// far fewer: the first relay to take a seat is linked to by all, and the probes
+// of its links add up.
+func (h *Hub) balance(now clock.Time) []Send {
+	if now.Sub(h.balanced) < balanceEvery {
+		return nil
+	}
+	h.balanced = now
+	sibling, ok := h.sibling()
+	if !ok {
+		return nil
+	}
+	mine, theirs := h.serving(sibling)
+	excess := (len(mine) - theirs) / 2
+	if excess <= balanceSlack {
+		return nil
+	}
+	h.rnd.Shuffle(len(mine), func(i, j int) { mine[i], mine[j] = mine[j], mine[i] })
+	var sends []Send
+	for _, node := range mine[:min(excess, balanceMoves)] {
+		sends = append(sends, Send{node, &Seats{Seats: h.seats, Redirect: true}})
+	}
+	return sends
+}
+
+// sibling returns the other relay of the data centre if it is linked.
+func (h *Hub) sibling() (string, bool) {
+	for _, name := range h.linked() {
+		if l := h.links[name]; l.hello.Relay && l.hello.DataCentre == h.dataCentre {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// serving returns the nodes with servers that are linked here, but for the
+// relay's own, and how many the sibling answers for.
+func (h *Hub) serving(sibling string) (mine []string, theirs int) {
+	for _, r := range h.directory.Records() {
+		if r.State >= server.Lost || r.Node == h.node || r.Node == sibling {
+			continue
+		}
+		if _, linked := h.links[r.Node]; linked {
+			mine = append(mine, r.Node)
+		} else if h.via[r.Node] == sibling {
+			theirs++
+		}
+	}
+	return mine, theirs
+}
