A closing node is seen to go

Cause: in a fresh clone with three processes, a node stopped by SIGTERM stayed 'up' on the others for seconds. Its last records were written to links that were closed at once, which drops what the peer has not received; and an announcement that came during the end took 'gone' back to 'draining'.

--- a/link/link.go
+++ b/link/link.go
@@ -37,7 +37,7 @@
 // Probing of the links that nodes and relays open to relays. A relay has tens
 // of each, and each probe costs about 180 bytes both ways.
 var (
-	NodeProbing  = Probing{2500 * time.Millisecond, 7 * time.Second}
+	NodeProbing  = Probing{3 * time.Second, 8 * time.Second}
 	RelayProbing = Probing{5 * time.Second, 12 * time.Second}
 )
 
--- a/node/control.go
+++ b/node/control.go
@@ -300,6 +300,7 @@
 
 // release tells the others that the node goes.
 func (c *control) release() {
+	c.n.station.leaveForGood()
 	own := c.n.station.record(server.Gone)
 	if own.Service != "" {
 		c.announce(own)
--- a/node/node.go
+++ b/node/node.go
@@ -263,7 +263,14 @@
 	n.station.drain()
 	n.post(func(c *control) { c.leave() })
 	n.finishCalls()
-	n.post(func(c *control) { c.release() })
+	released := make(chan struct{})
+	n.post(func(c *control) {
+		c.release()
+		close(released)
+	})
+	<-released
+	// A link that is closed drops what the peer has not received yet.
+	time.Sleep(linger)
 	n.cancel()
 	<-n.done
 	n.tasks.Wait()
@@ -273,6 +280,9 @@
 	n.log.Info("closed")
 }
 
+// linger lets the last messages arrive before the links are closed.
+const linger = 200 * time.Millisecond
+
 // finishCalls stops taking calls and waits until those in flight are answered,
 // the callers' first and then those that other nodes sent.
 func (n *Node) finishCalls() {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -24,6 +24,7 @@
 	"github.com/geraniumdock/geraniumdock/demo"
 	"github.com/geraniumdock/geraniumdock/node"
 	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/server"
 	"github.com/geraniumdock/geraniumdock/table"
 )
 
@@ -409,6 +410,30 @@
 	is.Equal(bad.Load(), int32(0))
 }
 
+// TestClosingNodesAreSeenToGo closes a relay and an ordinary node without calls
+// in flight. The others must learn that they left, and not find out by silence.
+func TestClosingNodesAreSeenToGo(t *testing.T) {
+	x := startMesh(t, 4, nil)
+	x.await("both seats of a data centre are taken", func() bool { return len(x.relays()) >= 3 })
+	for _, i := range []int{3, 0} {
+		x.Nodes[i].Close()
+		name := x.Nodes[i].Name()
+		x.await(name+" has left", func() bool {
+			records, err := x.Nodes[1].Servers(x.ctx)
+			x.ok(err)
+			for _, r := range records {
+				if r.Node == name && r.State == server.Lost {
+					t.Fatalf("%s was lost", name)
+				}
+				if r.Node == name && r.State == server.Gone {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
 func TestRepeatsOfAKeyGetTheFirstAnswer(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int32
--- a/node/role.go
+++ b/node/role.go
@@ -389,10 +389,10 @@
 	n.tasks.Go(func() {
 		shares, err := n.settleAsks(from, a, limits)
 		if err != nil {
-			n.log.Warn("shares not handed out", "service", a.Service, "node", from, "error", err)
+			n.log.Warn("shares not handed out", "service", a.Service, "asker", from, "error", err)
 			return
 		}
-		n.log.Info("shares handed out", "service", a.Service, "node", from, "shares", fmt.Sprint(shares))
+		n.log.Info("shares handed out", "service", a.Service, "asker", from, "shares", fmt.Sprint(shares))
 		n.post(func(c *control) {
 			if c.hub != nil {
 				c.deliver([]relay.Send{{To: from, Message: &relay.Shares{Shares: shares, Serial: a.Serial}}})
--- a/node/station.go
+++ b/node/station.go
@@ -43,6 +43,7 @@
 	announced announcement
 	heard     time.Duration
 	leaving   bool
+	left      bool // the node closes; announcements are not passed on any more
 	lastID    uint64
 	waiting   map[uint64]chan error // a nil error gives the slot
 	running   map[uint64]quarantine.Fingerprint
@@ -135,7 +136,7 @@
 
 func (s *station) state() server.State {
 	switch {
-	case !s.fresh():
+	case !s.fresh(), s.left:
 		return server.Gone
 	case s.leaving || s.announced.Draining:
 		return server.Draining
@@ -225,6 +226,13 @@
 	s.leaving = true
 }
 
+// leaveForGood has the server's record say that it is gone from now on.
+func (s *station) leaveForGood() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = true
+}
+
 func (s *station) close() {
 	s.calls.Wait()
 	s.claims.Close()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,9 +11,11 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
 	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
+	"github.com/geraniumdock/geraniumdock/lease"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 	"github.com/geraniumdock/geraniumdock/table"
@@ -291,6 +293,45 @@
 	is.Equal(w.hubs["paused"].Progress()[0].Version, h.newest().Version) // it learns what the node has
 }
 
+// TestHourWithoutThePlatform lets a relay's lease lapse for an hour while its
+// nodes restart in a herd. It goes on serving, and keeps its calls few.
+func TestHourWithoutThePlatform(t *testing.T) {
+	is := is.New(t)
+	h := newHistory(t)
+	w := newWire(t)
+	w.hubs["relay"] = newHub("relay", 1)
+	w.hubs["relay"].SetHead(0, h.newest(), h.chunks)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	l := lease.New("relay", "relay:1", "dc").WithRead(0, gd.Object{})
+	l = l.WithWritten(0, l.Next(0).Record, 1)
+	calls := 0
+	for now := clock.Time(0); now < clock.Time(time.Hour/time.Millisecond); now = now.Add(100 * time.Millisecond) {
+		if l.Next(now).Action != lease.Wait {
+			calls++
+			l = l.WithFailure(now, rnd)
+		}
+	}
+	w.now = clock.Time(time.Hour / time.Millisecond)
+	is.True(!l.Held(w.now))
+	is.True(calls < 1000)
+	for round := range 3 { // the herd restarts three times
+		for i := range 32 {
+			name := fmt.Sprint("n", i)
+			w.followers[name] = NewFollower(name, "dc", uint64(round+1))
+			w.connect(name, "relay")
+		}
+		w.settle()
+		newest := uint64(0)
+		for _, p := range w.hubs["relay"].Progress() {
+			newest = max(newest, p.Version)
+		}
+		for _, f := range w.followers {
+			f.RequireVersion(newest)
+			is.Equal(f.Policy().Version, h.newest().Version)
+		}
+	}
+}
+
 func TestRefusedVersionStaysOutWhole(t *testing.T) {
 	is := is.New(t)
 	h := newHistory(t)
