--- a/node/incident_test.go
+++ b/node/incident_test.go
@@ -175,22 +175,22 @@
 	is := is.New(t)
 	var crashes atomic.Int32
 	x := newMesh(t)
-	var prepare func(*demo.Backend)
 	restart := make(chan int, 8)
-	prepare = func(b *demo.Backend) {
-		index := len(x.backends)
-		b.Handle = func(w http.ResponseWriter, r *http.Request) {
-			if data, _ := io.ReadAll(r.Body); string(data) == "poison" {
-				crashes.Add(1)
-				b.Crash()
-				restart <- index
-				return
+	beside := func(node int) func(*demo.Backend) {
+		return func(b *demo.Backend) {
+			b.Handle = func(w http.ResponseWriter, r *http.Request) {
+				if data, _ := io.ReadAll(r.Body); string(data) == "poison" {
+					crashes.Add(1)
+					b.Crash()
+					restart <- node
+					return
+				}
+				fmt.Fprint(w, r.Header.Get(demo.IDHeader))
 			}
-			fmt.Fprint(w, r.Header.Get(demo.IDHeader))
 		}
 	}
 	for i := range 2 {
-		x.add(fmt.Sprint("n", i), "dc-a", prepare)
+		x.add(fmt.Sprint("n", i), "dc-a", beside(i))
 	}
 	x.edit("first", demo.SetService("tags", "/"), demo.SetCaller("app", "app-token"), demo.Set("app", "tags", "weight", "1"))
 	x.ok(x.AwaitServers(x.ctx, "tags", 2))
@@ -201,7 +201,7 @@
 		r := poison()
 		select {
 		case i := <-restart:
-			x.serve(x.Nodes[i%2], prepare) // cold
+			x.serve(x.Nodes[i], beside(i)) // cold
 			x.ok(x.AwaitServers(x.ctx, "tags", 2))
 		default:
 		}
