--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -602,3 +602,22 @@
 		}
 	}
 }
+
+func ExampleHub() {
+	hub := NewHub("relay", "ist-a", 0, rand.New(rand.NewPCG(1, 1)))
+	node := NewFollower("tags-1", "ist-a", 1)
+	node.RequireVersion(0)
+	t, _ := table.Table{}.WithEdit(table.Edit{ID: "1", Changes: []table.Change{
+		{Key: table.Key{Sheet: table.Services, Row: "tags", Column: "routes"}, Value: "/tags"},
+	}})
+	refs, chunks, _ := t.Encode()
+	hub.SetHead(0, table.Head{Version: t.Version(), Refs: refs}, chunks)
+	hub.Tick(1)
+	for _, s := range hub.Join(1, node.Hello()) {
+		for _, reply := range node.Handle(s.Message) {
+			hub.Handle(1, "tags-1", reply)
+		}
+	}
+	fmt.Println(node.Policy().Version, hub.Progress()[0].Version)
+	// Output: 1 1
+}
