--- a/node/role.go
+++ b/node/role.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -10,7 +9,6 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/lease"
-	"github.com/geraniumdock/geraniumdock/limit"
 	"github.com/geraniumdock/geraniumdock/link"
 	"github.com/geraniumdock/geraniumdock/relay"
 	"github.com/geraniumdock/geraniumdock/table"
@@ -19,18 +17,15 @@
 // Keys in the platform's store.
 const (
 	seatPrefix = "relay/"
-	poolPrefix = "limits/"
 )
 
 const (
-	watchWait    = 5 * time.Second // a watch is renewed, and doubled by a read, this often
-	listEvery    = 5 * time.Second
-	listFirst    = 500 * time.Millisecond // a relay that just began lists the others more often
-	listFirsts   = 6
-	seatGrace    = 20 * time.Second // an expired seat is still listed this long
-	allotTries   = 6
-	watchPause   = 500 * time.Millisecond
-	allotTimeout = 4 * time.Second
+	watchWait  = 5 * time.Second // a watch is renewed, and doubled by a read, this often
+	listEvery  = 5 * time.Second
+	listFirst  = 500 * time.Millisecond // a relay that just began lists the others more often
+	listFirsts = 6
+	seatGrace  = 20 * time.Second // an expired seat is still listed this long
+	watchPause = 500 * time.Millisecond
 )
 
 func seatKey(dataCentre string, index int) string {
@@ -377,82 +372,3 @@
 	delete(c.links, l.name)
 	c.hub.Leave(c.now(), l.name)
 }
-
-// allot hands out shares of the limits of the asking node's service.
-func (c *control) allot(from string, a *relay.Asks) {
-	policy := c.follower.Policy()
-	if policy == nil {
-		return
-	}
-	limits := limitsOf(policy.Services[a.Service])
-	n := c.n
-	n.tasks.Go(func() {
-		shares, err := n.settleAsks(from, a, limits)
-		if err != nil {
-			n.log.Warn("shares not handed out", "service", a.Service, "asker", from, "error", err)
-			return
-		}
-		n.log.Info("shares handed out", "service", a.Service, "asker", from, "shares", fmt.Sprint(shares))
-		n.post(func(c *control) {
-			if c.hub != nil {
-				c.deliver([]relay.Send{{To: from, Message: &relay.Shares{Shares: shares, Serial: a.Serial}}})
-			}
-		})
-	})
-}
-
-// settleAsks writes the pool before the shares are handed out. After a lost
-// answer nothing is handed out: the pool then counts more than the node holds,
-// which is safe, and the node asks again.
-func (n *Node) settleAsks(from string, a *relay.Asks, limits map[limit.Key]int64) ([]limit.Share, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), allotTimeout)
-	defer cancel()
-	key := poolPrefix + a.Service
-	var err error
-	for range allotTries {
-		var o gd.Object
-		if o, err = n.cfg.Store.Get(ctx, key); err != nil && !gd.NotFound.Is(err) {
-			return nil, err
-		}
-		var pool limit.Pool
-		if o.Revision > 0 {
-			if pool, err = limit.Decode(o.Value); err != nil {
-				return nil, err
-			}
-		}
-		next, shares := settlePool(pool, n, from, a, limits)
-		var data []byte
-		if data, err = next.Encode(); err != nil {
-			return nil, err
-		}
-		if _, err = n.cfg.Store.Put(ctx, key, data, o.Revision); !gd.Conflict.Is(err) {
-			return shares, err
-		}
-	}
-	return nil, err
-}
-
-func settlePool(p limit.Pool, n *Node, from string, a *relay.Asks, limits map[limit.Key]int64) (limit.Pool, []limit.Share) {
-	if a.Release {
-		return p.WithRelease(from), nil
-	}
-	asker := limit.Asker{Node: from, Incarnation: a.Incarnation, Serial: a.Serial}
-	return p.WithAsks(n.cfg.Clock.Now(), asker, a.Asks, limits)
-}
-
-// limitsOf returns the fleet-wide limits of a service's rows.
-func limitsOf(s *table.Service) map[limit.Key]int64 {
-	limits := map[limit.Key]int64{}
-	if s == nil {
-		return limits
-	}
-	for caller, row := range s.Rows {
-		if row.RateLimit > 0 {
-			limits[limit.Key{Caller: caller, Dimension: limit.Rate}] = int64(row.RateLimit) * limit.RateUnits
-		}
-		if row.ConcurrencyLimit > 0 {
-			limits[limit.Key{Caller: caller, Dimension: limit.Concurrency}] = int64(row.ConcurrencyLimit)
-		}
-	}
-	return limits
-}
