--- a/claim/claim_bench_test.go
+++ b/claim/claim_bench_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/geraniumdock/geraniumdock/clock"
-	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 )
 
 // BenchmarkClaims counts the platform's writes for each claim as the rate of
@@ -21,8 +21,8 @@
 	for _, rate := range []int{10, 100, 1000, 4000} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
 			for range b.N {
-				m := platform.NewMemory()
-				m.SetFaults(platform.Faults{Delay: 3 * time.Millisecond})
+				m := object.NewMemory()
+				m.SetFaults(object.Faults{Delay: 3 * time.Millisecond})
 				var names []string
 				writers := map[string]*Writer{}
 				for i := range nodes {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -16,7 +16,7 @@
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
 	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
-	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 )
 
 // perSecond is high enough for tests not to wait.
@@ -110,7 +110,7 @@
 // TestClaimsAreLinearizable lets several writers claim the same keys at once,
 // while answers of writes are lost, and checks the history.
 func TestClaimsAreLinearizable(t *testing.T) {
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	var mu sync.Mutex
 	var history []porcupine.Operation
 	var all sync.WaitGroup
@@ -121,7 +121,7 @@
 			all.Go(func() {
 				for i := range 10 {
 					if w == 0 && g == 0 {
-						m.SetFaults(platform.Faults{LoseAnswers: i % 3})
+						m.SetFaults(object.Faults{LoseAnswers: i % 3})
 					}
 					in := claimed{key: (g + i) % 7}
 					op := porcupine.Operation{ClientId: w*4 + g, Call: begin.Monotonic().Nanoseconds()}
@@ -162,10 +162,10 @@
 
 func TestLostAnswerOfAClaimIsOurs(t *testing.T) {
 	is := is.New(t)
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	w := NewWriter(m, clock.System{}, Holder{"n", 1}, perSecond)
 	defer w.Close()
-	m.SetFaults(platform.Faults{LoseAnswers: 1})
+	m.SetFaults(object.Faults{LoseAnswers: 1})
 	_, mine, err := w.Claim(context.Background(), "s", KeyOf("s", "a", "k"))
 	is.NoErr(err)
 	is.True(mine)
@@ -179,10 +179,10 @@
 
 func TestOutageRefusesClaims(t *testing.T) {
 	is := is.New(t)
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	w := NewWriter(m, clock.System{}, Holder{"n", 1}, perSecond)
 	defer w.Close()
-	m.SetFaults(platform.Faults{Outage: true})
+	m.SetFaults(object.Faults{Outage: true})
 	_, _, err := w.Claim(context.Background(), "s", KeyOf("s", "a", "k"))
 	is.True(gd.ClaimsDown.Is(err))
 }
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -63,3 +63,9 @@
 	defer f.mu.Unlock()
 	f.now += d
 }
+
+// Deadline returns the instant d from now, for the deadlines of connections.
+func Deadline(d time.Duration) time.Time { return time.Now().Add(d) }
+
+// Since returns the time since t, an instant that Deadline returned.
+func Since(t time.Time) time.Duration { return time.Since(t) }
--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -23,8 +23,8 @@
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/demo"
 	"github.com/geraniumdock/geraniumdock/identity"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/node"
-	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/settings"
 	"github.com/geraniumdock/geraniumdock/table"
 )
@@ -85,7 +85,7 @@
 		DataCentre:    s.DataCentre,
 		Region:        s.Region,
 		Identity:      id,
-		Store:         platform.NewClient(platform.NewRemote(s.Platform.Address), clock.System{}, s.Platform.CallsPerSecond, seed),
+		Store:         object.NewClient(object.NewRemote(s.Platform.Address), clock.System{}, s.Platform.CallsPerSecond, seed),
 		Clock:         clock.System{},
 		Log:           log,
 		CallsAddress:  s.Listen.Calls,
@@ -233,11 +233,11 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	if err := c.load(m); err != nil {
 		return err
 	}
-	s := &http.Server{Handler: platform.NewHandler(m)}
+	s := &http.Server{Handler: object.NewHandler(m)}
 	context.AfterFunc(ctx, func() { s.Close() })
 	fmt.Fprintf(os.Stderr, "stand-in for the platform at http://%s, in memory\n", l.Addr())
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -246,7 +246,7 @@
 	return c.save(m)
 }
 
-func (c *standInCommand) load(m *platform.Memory) error {
+func (c *standInCommand) load(m *object.Memory) error {
 	if c.Data == "" {
 		return nil
 	}
@@ -258,10 +258,10 @@
 		return gd.Invalid.Wrapf(err, "--data")
 	}
 	defer f.Close()
-	return platform.Restore(m, f)
+	return object.Restore(m, f)
 }
 
-func (c *standInCommand) save(m *platform.Memory) error {
+func (c *standInCommand) save(m *object.Memory) error {
 	if c.Data == "" {
 		return nil
 	}
@@ -269,7 +269,7 @@
 	if err != nil {
 		return gd.Invalid.Wrapf(err, "--data")
 	}
-	if err := platform.Save(m, f); err != nil {
+	if err := object.Save(m, f); err != nil {
 		f.Close()
 		return err
 	}
--- /dev/null
+++ b/cmd/geraniumdock/sidecar.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/proxy/peer"
+	"github.com/geraniumdock/geraniumdock/internal/proxy/sidecar"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/meter"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/sink"
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/settings"
+)
+
+const (
+	storeDialTimeout = 500 * time.Millisecond
+	storeIdle        = 30 * time.Second
+)
+
+type sidecarCommand struct {
+	Settings string `long:"settings" value-name:"FILE" env:"GERANIUMDOCK_SETTINGS" required:"yes" description:"settings file"`
+}
+
+// Execute runs a node on the platform until a signal.
+func (c *sidecarCommand) Execute([]string) error {
+	s, bounds, err := readSidecar(c.Settings)
+	if err != nil {
+		return err
+	}
+	m := meter.New()
+	var log hclog.Logger
+	out := sink.New(os.Stdout, func(dropped uint64) { log.Warn(event.Dropped, "count", dropped) })
+	defer out.Close()
+	log = hclog.New(&hclog.LoggerOptions{Name: s.Node, Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: out})
+	m.Gauge("geraniumdock_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
+	clk := clock.System{}
+	store := platform.NewStore(s.Store.Address, &http.Transport{
+		DialContext:         peer.Dialer(storeDialTimeout).DialContext,
+		IdleConnTimeout:     storeIdle,
+		MaxIdleConnsPerHost: 4,
+		DisableCompression:  true,
+	})
+	n, err := sidecar.New(sidecar.Config{
+		Settings: s, Bounds: bounds, Catalogue: store, Clock: clk, Log: log, Meter: m, Seed: uint64(clk.Now()),
+	})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	n.Start()
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		if _, _, err := readSidecar(c.Settings); err != nil {
+			log.Error(event.Reloaded, "error", gd.Message(err))
+			continue
+		}
+		log.Info(event.Reloaded, "settings", c.Settings)
+	}
+	defer store.Close()
+	return n.Close()
+}
+
+func readSidecar(file string) (settings.Sidecar, platform.Bounds, error) {
+	s, err := settings.ReadSidecar(file)
+	if err != nil {
+		return s, platform.Bounds{}, err
+	}
+	bounds, err := platform.DecodeBounds(s.Bounds)
+	if err != nil {
+		return s, bounds, gd.Invalid.Errorf("%s: %s", file, gd.Message(err))
+	}
+	return s, bounds, nil
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -15,8 +15,8 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/node"
-	"github.com/geraniumdock/geraniumdock/platform"
 )
 
 // The demo's sizes.
@@ -60,7 +60,7 @@
 
 // Run runs the demo and writes what happens to out.
 func Run(ctx context.Context, out io.Writer, log hclog.Logger) (Counts, error) {
-	fleet, err := NewFleet(platform.NewMemory(), log)
+	fleet, err := NewFleet(object.NewMemory(), log)
 	if err != nil {
 		return Counts{}, err
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -13,8 +13,8 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/identity"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/node"
-	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/table"
 )
 
@@ -58,7 +58,7 @@
 		DataCentre:   dataCentre,
 		Region:       "region",
 		Identity:     id,
-		Store:        platform.NewClient(f.Store, clock.System{}, storeRate, f.count),
+		Store:        object.NewClient(f.Store, clock.System{}, storeRate, f.count),
 		Clock:        clock.System{},
 		Log:          f.Log,
 		CallsAddress: loopback,
--- a/geraniumdock.go
+++ b/geraniumdock.go
@@ -52,3 +52,30 @@
 	// It returns an error of kind TimedOut when wait passes without a change.
 	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Object, error)
 }
+
+// Entry is a value in the platform's catalogue, which keeps values by kind and
+// name. Revision grows with each change in the catalogue.
+type Entry struct {
+	Name     string
+	Revision uint64
+	Value    []byte
+	Deleted  bool
+}
+
+// Catalogue is the platform's store of entries by kind and name, with watches
+// over a whole kind. Its errors are of the kinds NotFound, Conflict, Expired,
+// TooLarge and Unavailable (nothing is known of the outcome).
+type Catalogue interface {
+	// Get returns one entry.
+	Get(ctx context.Context, kind, name string) (Entry, error)
+	// List returns all entries of a kind and the catalogue's revision.
+	List(ctx context.Context, kind string) ([]Entry, uint64, error)
+	// Watch waits until entries of the kind have changed since revision, and
+	// returns them with the revision to go on from.
+	Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) ([]Entry, uint64, error)
+	// Put writes an entry that is still at revision, where 0 means that it
+	// must not exist.
+	Put(ctx context.Context, kind, name string, value []byte, revision uint64) (Entry, error)
+	// Delete removes an entry that is still at revision.
+	Delete(ctx context.Context, kind, name string, revision uint64) error
+}
--- /dev/null
+++ b/internal/call/admission/admission.go
@@ -0,0 +1,287 @@
+// Package admission orders the requests that wait for the slots of one backend
+// server and refuses those that cannot be served in time.
+//
+// It answers for more load than the server has slots for: a burst, a slow
+// server, the loss of others. The requests that can still meet their latency
+// objective go first, by rank and then by objective, for an answer after it is
+// worth a fraction. What cannot be answered before its deadline is refused when
+// it comes, with the time after which the queue will have drained, and not held.
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+const (
+	firstEstimate = 50 * time.Millisecond // slot time of a class before any was measured
+	smoothing     = 0.1                   // weight of the newest slot time in a mean
+	spread        = 1.4                   // share of its mean slot time that a request is given to meet its objective
+	minComeBack   = 20 * time.Millisecond // shortest time to come back that is named
+	maxComeBack   = 2 * time.Second       // longest one
+	maxClasses    = 1024                  // classes whose slot time is kept
+)
+
+// Item is a request that wants a slot. Instants are on the monotonic clock.
+type Item struct {
+	ID        uint64
+	Class     string        // requests of one class take about the same time
+	Inner     bool          // made by a request that already holds a slot somewhere
+	Priority  int           // rank, 0 is the highest
+	Objective time.Duration // instant until which the answer has its full value
+	Deadline  time.Duration // instant after which it has none
+}
+
+// Queue is the queue of one server. The owner serialises access. Use New.
+type Queue struct {
+	slots   int
+	waiting []Item // ordered by precedes
+	running map[uint64]run
+	classes map[string]time.Duration // mean slot time
+	mean    time.Duration            // over all classes
+}
+
+type run struct {
+	class string
+	since time.Duration
+}
+
+// New returns the queue of a server with the given slots, at least 1.
+func New(slots int) *Queue {
+	return &Queue{slots: max(slots, 1), running: map[uint64]run{}, classes: map[string]time.Duration{}}
+}
+
+// SetSlots changes the number of slots. Running requests are not touched.
+func (q *Queue) SetSlots(n int) { q.slots = max(n, 1) }
+
+// Slots returns the number of slots.
+func (q *Queue) Slots() int { return q.slots }
+
+// Running returns the number of slots in use.
+func (q *Queue) Running() int { return len(q.running) }
+
+// Waiting returns the number of requests that wait.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Mean returns the mean slot time, or 0 if none was measured.
+func (q *Queue) Mean() time.Duration { return q.mean }
+
+// Refusal says that a request was not taken and will never run here.
+type Refusal struct {
+	Kind      gd.Kind // QueueFull or Hopeless
+	Wait      time.Duration
+	ComeBack  time.Duration // after which the queue is expected to have drained
+	Remaining time.Duration // until the deadline
+}
+
+// Error returns the refusal as an error of its kind.
+func (r Refusal) Error() error {
+	return r.Kind.Errorf("expected wait of %s with %s left", r.Wait, r.Remaining)
+}
+
+// Offer takes an item: it is given a slot at once, waits, or is refused. With
+// mayWait false it is refused where there is no free slot. An item that was
+// taken is returned by Start when it gets its slot.
+func (q *Queue) Offer(now time.Duration, it Item, mayWait bool) (Refusal, bool) {
+	if len(q.waiting) == 0 && len(q.running) < q.slots {
+		q.insert(now, it)
+		return Refusal{}, true
+	}
+	wait := q.expectedWait(now, it)
+	refusal := Refusal{Kind: gd.QueueFull, Wait: wait, ComeBack: q.comeBack(), Remaining: it.Deadline - now}
+	if !mayWait {
+		return refusal, false
+	}
+	cost := q.cost(it.Class)
+	switch {
+	case now+wait+cost > it.Deadline:
+		refusal.Kind = gd.Hopeless
+		return refusal, false
+	case !q.isOnTime(now+wait, it) && !q.hasRoomLate(now, it):
+		return refusal, false
+	}
+	q.insert(now, it)
+	return Refusal{}, true
+}
+
+// isOnTime reports whether an item that starts at the given instant is likely
+// to meet its objective.
+func (q *Queue) isOnTime(start time.Duration, it Item) bool {
+	return start+time.Duration(spread*float64(q.cost(it.Class))) <= it.Objective
+}
+
+// hasRoomLate reports whether an item that will miss its objective may wait:
+// only while few such items do and the whole queue drains well before its
+// deadline, for it gets a slot when no other item wants one.
+func (q *Queue) hasRoomLate(now time.Duration, it Item) bool {
+	late := 0
+	for _, w := range q.waiting {
+		if !q.isOnTime(now, w) {
+			late++
+		}
+	}
+	left := it.Deadline - now - q.cost(it.Class)
+	return late < q.slots && 2*q.backlog() < left
+}
+
+// backlog is the time in which the waiting items would be served.
+func (q *Queue) backlog() time.Duration {
+	var work time.Duration
+	for _, w := range q.waiting {
+		work += q.cost(w.Class)
+	}
+	return work / time.Duration(q.slots)
+}
+
+func (q *Queue) comeBack() time.Duration {
+	return min(max(q.backlog(), minComeBack), maxComeBack)
+}
+
+// expectedWait estimates the wait of an item that comes now: a slot falls free
+// after a share of the mean slot time, and the items that go first take theirs.
+func (q *Queue) expectedWait(now time.Duration, it Item) time.Duration {
+	if len(q.running) < q.slots && len(q.waiting) == 0 {
+		return 0
+	}
+	work := q.typical()
+	for _, w := range q.waiting {
+		if q.precedes(now, w, it) {
+			work += q.cost(w.Class)
+		}
+	}
+	return work / time.Duration(q.slots)
+}
+
+// Wait returns the wait expected by a request of ordinary rank that comes now.
+func (q *Queue) Wait() time.Duration {
+	if len(q.running) < q.slots && len(q.waiting) == 0 {
+		return 0
+	}
+	return q.backlog() + q.typical()/time.Duration(q.slots)
+}
+
+func (q *Queue) typical() time.Duration {
+	if q.mean == 0 {
+		return firstEstimate
+	}
+	return q.mean
+}
+
+func (q *Queue) cost(class string) time.Duration {
+	if mean, ok := q.classes[class]; ok {
+		return mean
+	}
+	return q.typical()
+}
+
+// precedes reports whether a gets a slot before b: requests made by running
+// ones first, then those that can meet their objective, by rank and objective.
+func (q *Queue) precedes(now time.Duration, a, b Item) bool {
+	if a.Inner != b.Inner {
+		return a.Inner
+	}
+	if onTime := q.isOnTime(now, a); onTime != q.isOnTime(now, b) {
+		return onTime
+	}
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Objective, b.Objective),
+		cmp.Compare(a.ID, b.ID),
+	) < 0
+}
+
+func (q *Queue) insert(now time.Duration, it Item) {
+	q.waiting = append(q.waiting, it)
+	q.order(now)
+}
+
+func (q *Queue) order(now time.Duration) {
+	slices.SortFunc(q.waiting, func(a, b Item) int {
+		if q.precedes(now, a, b) {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Start gives free slots to waiting items and returns them.
+func (q *Queue) Start(now time.Duration) []Item {
+	n := min(q.slots-len(q.running), len(q.waiting))
+	if n <= 0 {
+		return nil
+	}
+	q.order(now)
+	started := slices.Clone(q.waiting[:n])
+	q.waiting = slices.Delete(q.waiting, 0, n)
+	for _, it := range started {
+		q.running[it.ID] = run{it.Class, now}
+	}
+	return started
+}
+
+// Expire removes and returns the waiting items that can no longer be answered
+// before their deadline.
+func (q *Queue) Expire(now time.Duration) []Item {
+	if len(q.waiting) == 0 {
+		return nil
+	}
+	q.order(now)
+	var expired []Item
+	ahead := q.typical() / 2
+	q.waiting = slices.DeleteFunc(q.waiting, func(it Item) bool {
+		cost := q.cost(it.Class)
+		if now+ahead/time.Duration(q.slots)+cost > it.Deadline {
+			expired = append(expired, it)
+			return true
+		}
+		ahead += cost
+		return false
+	})
+	return expired
+}
+
+// Clear removes and returns all waiting items.
+func (q *Queue) Clear() []Item {
+	all := q.waiting
+	q.waiting = nil
+	return all
+}
+
+// Done frees the slot of an item. The time that it took is counted if it ran
+// to its end.
+func (q *Queue) Done(now time.Duration, id uint64, whole bool) {
+	r, ok := q.running[id]
+	if !ok {
+		return
+	}
+	delete(q.running, id)
+	if !whole {
+		return
+	}
+	took := now - r.since
+	q.mean = smooth(q.mean, took)
+	if mean, ok := q.classes[r.class]; ok || len(q.classes) < maxClasses {
+		q.classes[r.class] = smooth(mean, took)
+	}
+}
+
+func smooth(mean, took time.Duration) time.Duration {
+	if mean == 0 {
+		return took
+	}
+	return mean + time.Duration(smoothing*float64(took-mean))
+}
+
+// Cancel removes a waiting item and reports whether it was waiting: if so, it
+// never ran.
+func (q *Queue) Cancel(id uint64) bool {
+	i := slices.IndexFunc(q.waiting, func(it Item) bool { return it.ID == id })
+	if i < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return true
+}
--- /dev/null
+++ b/internal/call/placement/placement.go
@@ -0,0 +1,261 @@
+// Package placement chooses the node, and so the backend server, that a request
+// is sent to.
+//
+// It answers for uneven load: servers of different speed, cold ones, failing
+// ones, queues that grow in one data centre while another has room, and ways
+// that cost time and bytes. What is known of a server's queue came with its last
+// answer and is old after a few milliseconds, so a choice is first offered
+// without leave to wait, and the answers of those that have no free slot decide
+// where the request waits.
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+const (
+	firstEstimate  = 50 * time.Millisecond  // slot time of a server before any is known
+	way            = 2 * time.Millisecond   // to and from another data centre
+	hop            = 2 * time.Millisecond   // to and from another node, with the processor time of both
+	perKilobyte    = 2 * time.Millisecond   // wait that saving a kilobyte between data centres is worth
+	baseBytes      = 1 << 10                // of heads, to and fro
+	firstPenalty   = 150 * time.Millisecond // after a failure
+	maxPenalty     = 3 * time.Second
+	penaltyHalf    = time.Second            // half-life of a penalty
+	loadHalf       = 250 * time.Millisecond // half-life of what a load report says beyond the usual
+	sampled        = 6                      // servers that are compared, so that nodes do not all choose the same
+	smoothing      = 0.1                    // weight of the newest size in a mean
+	jitter         = 0.1                    // share by which equal servers are told apart
+	silentFor      = 10 * time.Second       // reports older than this say nothing
+	coldFactor     = 2                      // a cold server takes this many times longer
+	unreachableFor = 300 * time.Millisecond // first pause after a node could not be reached
+	maxUnreachable = 3 * time.Second
+)
+
+// Load is what a node says of the server beside it.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	Mean    time.Duration // slot time
+	Wait    time.Duration // expected by a request that comes now
+	Cold    time.Duration // how much longer the server is slow after its start
+	Failing float64       // share of the last requests that it failed
+}
+
+// Estimates hold what one node knows of the servers it sends requests to. The
+// owner serialises access. Use New.
+type Estimates struct {
+	node       string
+	dataCentre string
+	rnd        *rand.Rand
+	nodes      map[string]*estimate
+	bytes      map[string]float64 // mean size of a class, to and fro
+}
+
+type estimate struct {
+	load        Load
+	heard       time.Duration // when load came
+	isHeard     bool
+	sent        int // requests of this node that are under way
+	penalty     time.Duration
+	punished    time.Duration
+	unreachable time.Duration // pause after the last failure to reach the node
+	retryAt     time.Duration
+}
+
+// New returns the estimates of a node in dataCentre.
+func New(node, dataCentre string, rnd *rand.Rand) *Estimates {
+	return &Estimates{node: node, dataCentre: dataCentre, rnd: rnd, nodes: map[string]*estimate{}, bytes: map[string]float64{}}
+}
+
+// Candidate is a server that was considered.
+type Candidate struct {
+	Node string
+	Cost time.Duration // expected time until the answer, with what the way costs
+}
+
+// Choose returns the server with the least cost among a sample of serving,
+// without those in tried. It reports false if none is left.
+func (e *Estimates) Choose(now time.Duration, class string, serving []server.Record, tried []string) (server.Record, []Candidate, bool) {
+	var left []server.Record
+	for _, r := range serving {
+		if !slices.Contains(tried, r.Node) {
+			left = append(left, r)
+		}
+	}
+	if reachable := slices.DeleteFunc(slices.Clone(left), func(r server.Record) bool {
+		n, ok := e.nodes[r.Node]
+		return ok && now < n.retryAt
+	}); len(reachable) > 0 {
+		left = reachable
+	}
+	if len(left) == 0 {
+		return server.Record{}, nil, false
+	}
+	var best server.Record
+	var candidates []Candidate
+	least := time.Duration(math.MaxInt64)
+	for _, r := range e.sample(left) {
+		cost := e.Cost(now, class, r)
+		candidates = append(candidates, Candidate{r.Node, cost})
+		if cost < least {
+			best, least = r, cost
+		}
+	}
+	return best, candidates, true
+}
+
+// sample returns a random part of records that holds those of the own data
+// centre first.
+func (e *Estimates) sample(records []server.Record) []server.Record {
+	e.rnd.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	if len(records) <= sampled {
+		return records
+	}
+	slices.SortStableFunc(records, func(a, b server.Record) int {
+		return e.distance(a) - e.distance(b)
+	})
+	near := 0
+	for near < len(records) && e.distance(records[near]) == 0 {
+		near++
+	}
+	// Some of other data centres are always compared, for theirs may be idle.
+	near = min(near, sampled-sampled/3)
+	return slices.Concat(records[:near], records[len(records)-(sampled-near):])
+}
+
+func (e *Estimates) distance(r server.Record) int {
+	if r.DataCentre == e.dataCentre {
+		return 0
+	}
+	return 1
+}
+
+// Cost returns the expected time until the answer of the server, with the
+// penalties and the price of the way.
+func (e *Estimates) Cost(now time.Duration, class string, r server.Record) time.Duration {
+	n := e.of(r.Node)
+	mean := n.load.Mean
+	if mean == 0 {
+		mean = e.typical()
+	}
+	if n.load.Cold > 0 && now < n.heard+n.load.Cold {
+		mean *= coldFactor
+	}
+	slots := max(r.Slots, 1)
+	ahead := e.ahead(now, n)
+	rounds := max(0, ahead+1-float64(slots)) / float64(slots)
+	cost := time.Duration((1 + rounds) * float64(mean))
+	if n.load.Failing > 0 {
+		cost += time.Duration(min(n.load.Failing, 1) * float64(maxPenalty))
+	}
+	cost += decayed(n.penalty, now-n.punished)
+	if r.Node != e.node {
+		cost += hop
+	}
+	if e.distance(r) > 0 {
+		cost += way + time.Duration((baseBytes+e.bytes[class])/1024*float64(perKilobyte))
+	}
+	return cost + time.Duration(jitter*e.rnd.Float64()*float64(mean))
+}
+
+// ahead estimates the requests at the server: those of this node, and what the
+// last report said of others, which fades.
+func (e *Estimates) ahead(now time.Duration, n *estimate) float64 {
+	if !n.isHeard || now-n.heard > silentFor {
+		return float64(n.sent)
+	}
+	others := float64(n.load.Running + n.load.Waiting - n.sent)
+	return float64(n.sent) + max(0, others)*math.Exp2(-float64(now-n.heard)/float64(loadHalf))
+}
+
+// typical returns the mean slot time of the servers that were heard.
+func (e *Estimates) typical() time.Duration {
+	var sum time.Duration
+	count := 0
+	for _, n := range e.nodes {
+		if n.load.Mean > 0 {
+			sum += n.load.Mean
+			count++
+		}
+	}
+	if count == 0 {
+		return firstEstimate
+	}
+	return sum / time.Duration(count)
+}
+
+func decayed(d, age time.Duration) time.Duration {
+	if d == 0 {
+		return 0
+	}
+	return time.Duration(float64(d) * math.Exp2(-float64(age)/float64(penaltyHalf)))
+}
+
+func (e *Estimates) of(node string) *estimate {
+	n, ok := e.nodes[node]
+	if !ok {
+		n = &estimate{}
+		e.nodes[node] = n
+	}
+	return n
+}
+
+// Sent notes that a request was sent to node.
+func (e *Estimates) Sent(node string) { e.of(node).sent++ }
+
+// Ended notes that a request to node ended, however it did.
+func (e *Estimates) Ended(node string) {
+	n := e.of(node)
+	n.sent = max(0, n.sent-1)
+}
+
+// Heard notes what a node said of its server.
+func (e *Estimates) Heard(now time.Duration, node string, l Load) {
+	n := e.of(node)
+	n.load, n.heard, n.isHeard = l, now, true
+	n.unreachable, n.retryAt = 0, 0
+}
+
+// Wait returns the wait that node last told of.
+func (e *Estimates) Wait(node string) time.Duration { return e.of(node).load.Wait }
+
+// Failed notes that the server of node failed a request.
+func (e *Estimates) Failed(now time.Duration, node string) {
+	n := e.of(node)
+	n.penalty = min(decayed(n.penalty, now-n.punished)+firstPenalty, maxPenalty)
+	n.punished = now
+}
+
+// Unreachable notes that node could not be reached. It is left alone for a
+// while that doubles each time.
+func (e *Estimates) Unreachable(now time.Duration, node string) {
+	n := e.of(node)
+	n.unreachable = min(max(2*n.unreachable, unreachableFor), maxUnreachable)
+	n.retryAt = now + n.unreachable
+}
+
+// Transferred notes how many bytes a request of the class took, to and fro.
+func (e *Estimates) Transferred(class string, bytes int64) {
+	mean, ok := e.bytes[class]
+	if !ok {
+		e.bytes[class] = float64(bytes)
+		return
+	}
+	e.bytes[class] = mean + smoothing*(float64(bytes)-mean)
+}
+
+// Retain forgets the nodes that are not among records.
+func (e *Estimates) Retain(has func(node string) bool) {
+	for node, n := range e.nodes {
+		if n.sent == 0 && !has(node) {
+			delete(e.nodes, node)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/gossip.go
@@ -0,0 +1,171 @@
+package roster
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+const (
+	// gossipEvery is the pause between two exchanges that a node begins. With
+	// it a version reaches nodes that the store turns away within about 2 s.
+	gossipEvery     = 500 * time.Millisecond
+	exchangeTimeout = 700 * time.Millisecond
+	maxPushes       = 32 // pushes of one node that are under way
+)
+
+// Message is what two nodes tell each other. In a question the digests say what
+// the sender has; the answer bears what the sender lacks.
+type Message struct {
+	Node      string              `cbor:"1,keyasint"`
+	Version   uint64              `cbor:"2,keyasint,omitempty"` // of the policy in force
+	Policy    []byte              `cbor:"3,keyasint,omitempty"` // as the catalogue holds it
+	Directory uint64              `cbor:"4,keyasint,omitempty"` // digest
+	Records   []server.Record     `cbor:"5,keyasint,omitempty"`
+	Register  uint64              `cbor:"6,keyasint,omitempty"` // number of reports
+	Reports   []quarantine.Report `cbor:"7,keyasint,omitempty"`
+	Push      bool                `cbor:"8,keyasint,omitempty"` // no answer is wanted
+}
+
+// gossip exchanges with one random node after another.
+func (r *Roster) gossip(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.sleep(ctx, r.jitter(gossipEvery))
+		var peer string
+		var question Message
+		asked := make(chan struct{})
+		r.post(ctx, func(s *state) {
+			peer, question = s.randomPeer(), s.digests()
+			close(asked)
+		})
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			return
+		}
+		if peer != "" {
+			r.exchange(ctx, peer, question)
+		}
+	}
+}
+
+func (s *state) randomPeer() string {
+	var peers []string
+	for _, rec := range s.directory.Records() {
+		if rec.Node != s.r.cfg.Self.Node && rec.Address != s.r.cfg.Self.Address {
+			peers = append(peers, rec.Address)
+		}
+	}
+	if len(peers) == 0 {
+		return ""
+	}
+	return peers[s.r.cfg.Random.IntN(len(peers))]
+}
+
+func (s *state) digests() Message {
+	return Message{
+		Node:      s.r.cfg.Self.Node,
+		Version:   s.version(),
+		Directory: s.directory.Digest(),
+		Register:  uint64(len(s.register.Reports())),
+	}
+}
+
+// exchange asks a node and gives it what it lacks.
+func (r *Roster) exchange(ctx context.Context, address string, question Message) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := r.cfg.Exchanger.Exchange(ctx, address, question)
+	if err != nil {
+		r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
+		return
+	}
+	var back Message
+	taken := make(chan struct{})
+	r.post(ctx, func(s *state) {
+		s.take(answer)
+		back = s.lacks(answer)
+		close(taken)
+	})
+	select {
+	case <-taken:
+	case <-ctx.Done():
+		return
+	}
+	if back.Policy != nil || back.Records != nil || back.Reports != nil {
+		back.Push = true
+		if _, err := r.cfg.Exchanger.Exchange(ctx, address, back); err != nil {
+			r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
+		}
+	}
+}
+
+// Answer takes a message of another node and returns the answer.
+func (r *Roster) Answer(ctx context.Context, m Message) Message {
+	answer := make(chan Message, 1)
+	r.post(ctx, func(s *state) {
+		s.take(m)
+		if m.Push {
+			answer <- Message{}
+			return
+		}
+		answer <- s.lacks(m)
+	})
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return Message{}
+	}
+}
+
+// take merges what a message bears.
+func (s *state) take(m Message) {
+	if m.Node != "" {
+		s.heard[m.Node] = s.r.cfg.Clock.Monotonic()
+	}
+	if m.Policy != nil && m.Version > s.version() {
+		s.adopt(m.Policy, "node "+m.Node)
+	}
+	s.merge(m.Records, m.Node)
+	s.register, _ = s.register.WithReports(m.Reports...)
+}
+
+// lacks returns the digests with what the sender of m lacks.
+func (s *state) lacks(m Message) Message {
+	a := s.digests()
+	if s.raw != nil && m.Version < s.version() {
+		a.Policy = s.raw
+	}
+	if m.Directory != a.Directory {
+		a.Records = s.directory.Records()
+	}
+	if m.Register < a.Register {
+		a.Reports = s.register.Reports()
+	}
+	return a
+}
+
+// push tells all other nodes at once.
+func (s *state) push(m Message) {
+	m.Node, m.Push = s.r.cfg.Self.Node, true
+	for _, rec := range s.directory.Records() {
+		if rec.Node == s.r.cfg.Self.Node {
+			continue
+		}
+		s.r.tasks.Go(func() { s.r.pushTo(rec.Address, m) })
+	}
+}
+
+func (r *Roster) pushTo(address string, m Message) {
+	r.pushing <- struct{}{}
+	defer func() { <-r.pushing }()
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	if _, err := r.cfg.Exchanger.Exchange(ctx, address, m); err != nil {
+		r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,315 @@
+// Package roster keeps what a node knows of the fleet: the policy in force, the
+// backend servers beside the nodes, and the requests that crash servers. It
+// learns them from the platform's catalogue and from other nodes, so that a node
+// that the catalogue turns away still follows, and never goes back to an older
+// policy.
+package roster
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+const eventBuffer = 256 // changes that wait for the control goroutine
+
+// Exchanger speaks with the rosters of other nodes.
+type Exchanger interface {
+	// Exchange sends a message to the node at address and returns its answer.
+	Exchange(ctx context.Context, address string, m Message) (Message, error)
+}
+
+// Decoder reads a policy from its bytes in the catalogue.
+type Decoder func([]byte) (*route.Policy, error)
+
+// Config says who a node is and what it works with.
+type Config struct {
+	Self       server.Record // Node, Address, DataCentre and Region of this node
+	Catalogue  gd.Catalogue
+	Policies   string // kind of the policy's entry
+	Policy     string // its name
+	Servers    string // kind of the servers' entries
+	Decode     Decoder
+	Exchanger  Exchanger
+	Clock      gd.Clock
+	Log        hclog.Logger
+	Random     *rand.Rand
+	OnPolicy   func(*route.Policy) // told of each policy that comes into force
+	OnAdoption func(server.Record) // told of an own record that an earlier process left
+}
+
+// Snapshot is an immutable view of what is known.
+type Snapshot struct {
+	Policy    *route.Policy // nil until one is known
+	Directory server.Directory
+	Serving   map[string][]server.Record // by service, ordered by node
+	Register  quarantine.Register
+}
+
+// Nodes returns the number of nodes known, this one included.
+func (s *Snapshot) Nodes() int { return max(1, s.Directory.Len()) }
+
+// Roster is the view of one node. Use New.
+type Roster struct {
+	cfg      Config
+	snapshot atomic.Pointer[Snapshot]
+	changes  chan func(*state)
+	publish  chan struct{} // wakes the publisher
+	started  chan struct{} // closed when the first policy is known
+	tasks    sync.WaitGroup
+	pushing  chan struct{} // bounds the pushes under way
+
+	runOnce sync.Once
+	cancel  context.CancelFunc
+}
+
+// state is owned by the control goroutine.
+type state struct {
+	r         *Roster
+	policy    *route.Policy
+	raw       []byte // the policy as the catalogue holds it
+	directory server.Directory
+	register  quarantine.Register
+	own       server.Record
+	hasOwn    bool
+	stored    server.Record            // own record as the catalogue holds it
+	revision  uint64                   // of the own entry, 0 if there is none
+	listed    map[string]bool          // nodes whose entries the catalogue holds
+	isListed  bool                     // the catalogue has been read
+	missing   map[string]time.Duration // since when the catalogue lacks a known node's entry
+	heard     map[string]time.Duration // when a node was last heard directly
+	buried    map[string]server.Record // forgotten ones, so that other nodes do not bring them back
+	left      bool
+	refused   uint64 // version of the last policy that could not be read
+}
+
+// New returns a roster. Run starts it.
+func New(cfg Config) *Roster {
+	r := &Roster{
+		cfg:     cfg,
+		changes: make(chan func(*state), eventBuffer),
+		publish: make(chan struct{}, 1),
+		started: make(chan struct{}),
+		pushing: make(chan struct{}, maxPushes),
+	}
+	r.snapshot.Store(&Snapshot{})
+	return r
+}
+
+// Snapshot returns the current view.
+func (r *Roster) Snapshot() *Snapshot { return r.snapshot.Load() }
+
+// Run keeps the view until ctx ends.
+func (r *Roster) Run(ctx context.Context) error {
+	var loops sync.WaitGroup
+	loops.Go(func() { r.follow(ctx, r.cfg.Policies, r.policyChanges) })
+	loops.Go(func() { r.follow(ctx, r.cfg.Servers, r.serverChanges) })
+	loops.Go(func() { r.publishAll(ctx) })
+	loops.Go(func() { r.gossip(ctx) })
+	s := &state{
+		r:       r,
+		listed:  map[string]bool{},
+		missing: map[string]time.Duration{},
+		heard:   map[string]time.Duration{},
+		buried:  map[string]server.Record{},
+	}
+	tick := time.NewTicker(expiryTick)
+	defer tick.Stop()
+	for {
+		select {
+		case change := <-r.changes:
+			change(s)
+			s.drain()
+			s.show()
+		case <-tick.C:
+			s.expire()
+			s.show()
+		case <-ctx.Done():
+			loops.Wait()
+			r.tasks.Wait()
+			return ctx.Err()
+		}
+	}
+}
+
+// drain applies the changes that wait already, so that one view shows them all.
+func (s *state) drain() {
+	for range eventBuffer {
+		select {
+		case change := <-s.r.changes:
+			change(s)
+		default:
+			return
+		}
+	}
+}
+
+// post hands a change to the control goroutine.
+func (r *Roster) post(ctx context.Context, change func(*state)) {
+	select {
+	case r.changes <- change:
+	case <-ctx.Done():
+	}
+}
+
+// show publishes the state as a snapshot if it differs.
+func (s *state) show() {
+	old := s.r.snapshot.Load()
+	if old.Policy == s.policy && old.Directory.Generation() == s.directory.Generation() && old.Register.Generation() == s.register.Generation() {
+		return
+	}
+	next := &Snapshot{Policy: s.policy, Directory: s.directory, Serving: old.Serving, Register: s.register}
+	if old.Directory.Generation() != s.directory.Generation() {
+		next.Serving = s.directory.Serving()
+	}
+	s.r.snapshot.Store(next)
+}
+
+// adopt brings a policy into force if it is newer than the one in force.
+func (s *state) adopt(raw []byte, source string) {
+	p, err := s.r.cfg.Decode(raw)
+	if err != nil {
+		s.r.cfg.Log.Error(event.PolicyRefused, "source", source, "error", gd.Message(err), "in-force", s.version())
+		return
+	}
+	if s.policy != nil && p.Version <= s.policy.Version {
+		return
+	}
+	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source)
+	first := s.policy == nil
+	s.policy, s.raw = p, raw
+	s.show()
+	if s.r.cfg.OnPolicy != nil {
+		s.r.cfg.OnPolicy(p)
+	}
+	if first {
+		close(s.r.started)
+	}
+}
+
+func (s *state) version() uint64 {
+	if s.policy == nil {
+		return 0
+	}
+	return s.policy.Version
+}
+
+// merge takes in records of servers that the given node, or "" for the
+// catalogue, told of.
+func (s *state) merge(records []server.Record, node string) {
+	source := "store"
+	if node != "" {
+		source = "node " + node
+		records = slices.DeleteFunc(records, func(r server.Record) bool {
+			old, ok := s.buried[r.Node]
+			return ok && r.Node != node && r.Compare(old) <= 0
+		})
+	}
+	var newer []server.Record
+	s.directory, newer = s.directory.WithRecords(records...)
+	for _, r := range newer {
+		delete(s.buried, r.Node)
+		if s.isListed && !s.listed[r.Node] {
+			s.removed(r.Node)
+		}
+		if r.Node == s.r.cfg.Self.Node {
+			s.meetOwn(r)
+			continue
+		}
+		s.r.cfg.Log.Info(event.ServerSeen, "node", r.Node, "service", r.Service, "instance", r.Instance,
+			"state", r.State.String(), "incarnation", r.Incarnation, "sequence", r.Sequence, "source", source)
+	}
+}
+
+// meetOwn deals with a record of this node that it did not write: an earlier
+// process did, or a later one at another address.
+func (s *state) meetOwn(r server.Record) {
+	if s.hasOwn && r.Compare(s.own) <= 0 {
+		return
+	}
+	if s.hasOwn {
+		s.own.Incarnation = r.Incarnation + 1
+		s.announce(s.own)
+		return
+	}
+	if s.r.cfg.OnAdoption != nil && r.State == server.Up && r.Address == s.r.cfg.Self.Address {
+		s.r.cfg.OnAdoption(r)
+	}
+}
+
+// announce makes r the own record, newer than what is known of this node.
+func (s *state) announce(r server.Record) {
+	if old, ok := s.directory.Record(r.Node); ok {
+		r.Incarnation = max(r.Incarnation, old.Incarnation)
+		if r.Incarnation == old.Incarnation {
+			r.Sequence = max(r.Sequence, old.Sequence+1)
+		}
+	}
+	s.own, s.hasOwn = r, true
+	s.directory, _ = s.directory.WithRecords(r)
+	s.show()
+	s.r.wakePublisher()
+	s.push(Message{Records: []server.Record{r}})
+}
+
+func (r *Roster) wakePublisher() {
+	select {
+	case r.publish <- struct{}{}:
+	default:
+	}
+}
+
+// Announce makes the server's record known. Its Incarnation and Sequence are
+// set here.
+func (r *Roster) Announce(ctx context.Context, rec server.Record) {
+	r.post(ctx, func(s *state) {
+		rec.Node, rec.Address = r.cfg.Self.Node, r.cfg.Self.Address
+		rec.DataCentre, rec.Region = r.cfg.Self.DataCentre, r.cfg.Self.Region
+		rec.Incarnation = max(r.cfg.Self.Incarnation, s.own.Incarnation)
+		rec.Sequence = s.own.Sequence + 1
+		s.announce(rec)
+	})
+}
+
+// Report makes known that requests were in flight when a server crashed.
+func (r *Roster) Report(ctx context.Context, reports []quarantine.Report) {
+	r.post(ctx, func(s *state) {
+		var added []quarantine.Report
+		if s.register, added = s.register.WithReports(reports...); len(added) > 0 {
+			s.push(Message{Reports: added})
+		}
+	})
+}
+
+// Started is closed when the first policy is in force.
+func (r *Roster) Started() <-chan struct{} { return r.started }
+
+// Leave makes known that the node goes, and removes its entry. It returns when
+// the catalogue has confirmed that or ctx ends.
+func (r *Roster) Leave(ctx context.Context) {
+	done := make(chan struct{})
+	r.post(ctx, func(s *state) {
+		defer close(done)
+		s.left = true
+		if s.hasOwn {
+			gone := s.own.WithState(server.Gone)
+			gone.Sequence++
+			s.announce(gone)
+		}
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/http1/pool/conn.go
@@ -0,0 +1,241 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+const (
+	readBuffer   = 8 << 10 // bytes
+	writeBuffer  = 8 << 10 // bytes
+	maxStale     = 4       // answers to earlier requests that are skipped
+	maxStaleBody = 1 << 20 // bytes of such an answer
+)
+
+// conn is a connection to the backend server. It serves one request at a time.
+type conn struct {
+	pool        *Pool
+	nc          net.Conn
+	br          *bufio.Reader
+	used        time.Time
+	idleTimeout time.Duration
+	requests    int
+}
+
+func newConn(p *Pool, nc net.Conn) *conn {
+	return &conn{pool: p, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), idleTimeout: maxIdle}
+}
+
+// isSilent reports whether the server has neither closed the idle connection
+// nor sent anything on it.
+func (c *conn) isSilent() bool {
+	s, ok := c.nc.(syscall.Conn)
+	if !ok || c.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := unix.Read(int(fd), b[:])
+		silent = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
+
+// exchange sends the request and reads the head of the answer. The connection
+// is kept or closed when the answer's body is closed.
+func (c *conn) exchange(ctx context.Context, r Request) Result {
+	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
+	c.requests++
+	sent := make(chan error, 1)
+	if r.Body == nil || r.Body == http.NoBody {
+		sent <- c.send(r)
+	} else {
+		go func() { sent <- c.send(r) }()
+	}
+	res, err := c.receive(r)
+	if err != nil {
+		stop()
+		c.nc.Close()
+		closeBody(r.Request)
+		if ctx.Err() != nil {
+			return Result{Err: gd.TimedOut.Wrapf(ctx.Err(), "the server had not answered"), Reached: true}
+		}
+		return Result{Err: gd.Unknown.Wrapf(err, "answer of the server"), Reached: true}
+	}
+	res.Body = &answerBody{ReadCloser: res.Body, c: c, r: r, res: res, sent: sent, stop: stop, ctx: ctx}
+	return Result{Response: res, Reached: true}
+}
+
+func closeBody(r *http.Request) {
+	if r.Body != nil {
+		r.Body.Close() // ends the goroutine that sends it
+	}
+}
+
+// send writes the request as the client sent it, but for the fields of the
+// connection.
+func (c *conn) send(r Request) error {
+	bw := bufio.NewWriterSize(c.nc, writeBuffer)
+	bw.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	hasBody := r.Body != nil && r.Body != http.NoBody
+	chunked := hasBody && r.ContentLength < 0
+	switch {
+	case chunked:
+		bw.WriteString("Transfer-Encoding: chunked\r\n")
+	case hasBody || r.ContentLength == 0 && r.Header.Get("Content-Length") == "0":
+		bw.WriteString("Content-Length: " + strconv.FormatInt(r.ContentLength, 10) + "\r\n")
+	}
+	if err := EndToEnd(r.Header).Write(bw); err != nil {
+		return err
+	}
+	bw.WriteString("\r\n")
+	if hasBody {
+		if err := sendBody(bw, r, chunked); err != nil {
+			c.nc.Close() // the server must not take a cut body for a whole one
+			return err
+		}
+	}
+	return bw.Flush()
+}
+
+func sendBody(bw *bufio.Writer, r Request, chunked bool) error {
+	if !chunked {
+		n, err := io.Copy(bw, r.Body)
+		if err == nil && n != r.ContentLength {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	cw := httputil.NewChunkedWriter(bw)
+	if _, err := io.Copy(cw, r.Body); err != nil {
+		return err
+	}
+	if err := cw.Close(); err != nil {
+		return err
+	}
+	_, err := bw.WriteString("\r\n")
+	return err
+}
+
+// receive reads the head of the answer that bears the request's id. Answers to
+// earlier requests are skipped.
+func (c *conn) receive(r Request) (*http.Response, error) {
+	for range maxStale {
+		res, err := http.ReadResponse(c.br, r.Request)
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode < http.StatusOK {
+			continue // informational
+		}
+		id := c.pool.identify(res.Header)
+		if id == r.ID || id == "" && c.requests == 1 {
+			return res, nil
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBody))
+		if err != nil {
+			return nil, err
+		}
+		if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 || n == maxStaleBody {
+			return nil, gd.Malformed.Errorf("the answer is for another request")
+		}
+	}
+	return nil, gd.Malformed.Errorf("the answers are for other requests")
+}
+
+// answerBody is the body of an answer. Closing it ends the use of the
+// connection.
+type answerBody struct {
+	io.ReadCloser
+	c     *conn
+	r     Request
+	res   *http.Response
+	ctx   context.Context
+	sent  <-chan error
+	stop  func() bool
+	ended bool // the body was read to its end
+	done  bool
+}
+
+// Read reads the body. An error other than io.EOF means that it was cut.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+// Close keeps the connection if nothing is left on it, or closes it.
+func (b *answerBody) Close() error {
+	if b.done {
+		return nil
+	}
+	b.done = true
+	if !b.ended {
+		// A short rest is often buffered already.
+		if n, err := b.Read(make([]byte, 1)); n == 0 && err == io.EOF {
+			b.ended = true
+		}
+	}
+	reusable := b.ended && b.isSent() && b.stop() && !b.res.Close &&
+		(b.res.ContentLength >= 0 || len(b.res.TransferEncoding) > 0) && b.c.br.Buffered() == 0
+	if !reusable {
+		b.stop()
+		b.c.nc.Close()
+		closeBody(b.r.Request)
+		return nil
+	}
+	if timeout, ok := keepAlive(b.res.Header); ok {
+		b.c.idleTimeout = timeout
+	}
+	b.c.pool.put(b.c)
+	return nil
+}
+
+// isSent reports whether the whole request has been sent. A server that
+// answers early would take the next request for the rest of the body.
+func (b *answerBody) isSent() bool {
+	select {
+	case err := <-b.sent:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// keepAlive returns how long the server keeps an idle connection, less a
+// margin, if it says so.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		s, err := strconv.Atoi(value)
+		if err != nil || s < 0 {
+			return 0, false
+		}
+		return min(max(time.Duration(s)*time.Second-idleMargin, 0), maxIdle), true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/proxy/peer/client.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
+	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
+)
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	idleTimeout = 60 * time.Second
+	// userTimeout ends a connection on which nothing was acknowledged, for a
+	// node without power or behind a cut does not answer at all.
+	userTimeout  = 1500 * time.Millisecond
+	probeIdle    = time.Second // of a silent connection, before the kernel probes it
+	probeEvery   = time.Second
+	probeCount   = 2
+	streamBuffer = 256 << 10 // bytes of a body that a node receives ahead
+	connBuffer   = 1 << 20
+	maxMessage   = 16 << 20 // bytes of a message between rosters
+)
+
+// Client sends requests and messages to other nodes. Use NewClient.
+type Client struct {
+	transport *http.Transport
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{transport: &http.Transport{
+		Protocols:          cleartext(),
+		DialContext:        Dialer(dialTimeout).DialContext,
+		DisableCompression: true,
+		IdleConnTimeout:    idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerStream:     streamBuffer,
+			MaxReceiveBufferPerConnection: connBuffer,
+		},
+	}}
+}
+
+func cleartext() *http.Protocols {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &p
+}
+
+// Dialer returns a dialer whose connections notice a peer that went silent.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			if cerr := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			}); cerr != nil {
+				return cerr
+			}
+			return err
+		},
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Do sends a request to the node at address.
+func (c *Client) Do(ctx context.Context, address string, r request.Request) request.Answer {
+	h := pool.EndToEnd(r.Header)
+	strip(h)
+	h.Set(metaHeader, encodeMeta(r))
+	h.Set(targetHeader, encodeText(r.Target))
+	h.Set(hostHeader, encodeText(r.Host))
+	h.Set(classHeader, encodeText(r.Class))
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps the client from adding one
+	}
+	req := (&http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Scheme: "http", Host: address, Path: requestPath},
+		Header:        h,
+		Body:          r.Body,
+		ContentLength: r.ContentLength,
+	}).WithContext(ctx)
+	res, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return failedAnswer(ctx, err)
+	}
+	return decodeAnswer(res)
+}
+
+// failedAnswer returns the answer for a try without an answer of the node.
+func failedAnswer(ctx context.Context, err error) request.Answer {
+	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
+		return request.Failed(gd.NoServer.Wrapf(err, "node"), false)
+	}
+	if ctx.Err() != nil {
+		return request.Failed(gd.TimedOut.Wrapf(ctx.Err(), "node"), true)
+	}
+	return request.Failed(gd.Unknown.Wrapf(err, "node"), true)
+}
+
+func decodeAnswer(res *http.Response) request.Answer {
+	var a request.Answer
+	a.Load, a.HasLoad = decodeLoad(res.Header.Get(loadHeader))
+	switch outcome := res.Header.Get(outcomeHeader); outcome {
+	case outcomeAnswer, outcomeShed:
+		a.Reached, a.Shed = true, outcome == outcomeShed
+		strip(res.Header)
+		a.Response = res
+		return a
+	case outcomeNotSent, outcomeUnknown:
+		defer res.Body.Close()
+		a.Reached = outcome == outcomeUnknown
+		text, err := decodeText(res.Header.Get(errorHeader))
+		if err != nil {
+			text = gd.Message(err)
+		}
+		a.Err = gd.KindNamed(res.Header.Get(kindHeader)).Errorf("%s", text)
+		if ms, err := strconv.ParseInt(res.Header.Get(comeBackHeader), 10, 64); err == nil {
+			a.ComeBack = time.Duration(ms) * time.Millisecond
+		}
+		return a
+	}
+	res.Body.Close()
+	return request.Failed(gd.Unknown.Errorf("the node answered %d without an outcome", res.StatusCode), true)
+}
+
+// Exchange sends a message to the roster of the node at address.
+func (c *Client) Exchange(ctx context.Context, address string, m roster.Message) (roster.Message, error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return roster.Message{}, gd.Internal.Wrapf(err, "message")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+exchangePath, bytes.NewReader(data))
+	if err != nil {
+		return roster.Message{}, gd.Invalid.Wrapf(err, "address of a node")
+	}
+	res, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return roster.Message{}, gd.Unavailable.Wrapf(err, "node")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return roster.Message{}, gd.Unavailable.Errorf("the node answered %d", res.StatusCode)
+	}
+	return decodeMessage(res.Body)
+}
+
+func decodeMessage(r io.Reader) (roster.Message, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxMessage))
+	if err != nil {
+		return roster.Message{}, gd.Unavailable.Wrapf(err, "message")
+	}
+	var m roster.Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return roster.Message{}, gd.Malformed.Wrapf(err, "message")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/proxy/peer/handler.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
+	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
+	"github.com/geraniumdock/geraniumdock/platform"
+)
+
+// Station runs requests on the server beside the node.
+type Station interface {
+	Do(ctx context.Context, r request.Request) request.Answer
+}
+
+// Roster answers messages of other rosters.
+type Roster interface {
+	Answer(ctx context.Context, m roster.Message) roster.Message
+}
+
+// maxStreams is how many requests one node may have under way at another.
+const maxStreams = 1000
+
+// Server serves other nodes. Use NewServer.
+type Server struct {
+	http *http.Server
+}
+
+// NewServer returns a server that passes requests to station and messages to
+// members.
+func NewServer(station Station, members Roster, log hclog.Logger) *Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(requestPath, func(w http.ResponseWriter, r *http.Request) { serveRequest(station, w, r) })
+	mux.HandleFunc(exchangePath, func(w http.ResponseWriter, r *http.Request) { serveExchange(members, w, r) })
+	return &Server{http: &http.Server{
+		Handler:   mux,
+		Protocols: cleartext(),
+		ErrorLog:  log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerStream:     streamBuffer,
+			MaxReceiveBufferPerConnection: connBuffer,
+		},
+	}}
+}
+
+// Serve serves connections until Close is called.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close waits for the requests under way until ctx ends.
+func (s *Server) Close(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return s.http.Close()
+	}
+	return nil
+}
+
+func serveRequest(station Station, w http.ResponseWriter, r *http.Request) {
+	in, err := decodeRequest(r)
+	if err != nil {
+		writeAnswer(w, request.Failed(err, false))
+		return
+	}
+	writeAnswer(w, station.Do(r.Context(), in))
+}
+
+func decodeRequest(r *http.Request) (request.Request, error) {
+	in := request.Request{Method: r.Method, Body: r.Body, ContentLength: r.ContentLength}
+	if err := decodeMeta(r.Header.Get(metaHeader), &in); err != nil {
+		return in, err
+	}
+	for _, f := range []struct {
+		name string
+		into *string
+	}{{targetHeader, &in.Target}, {hostHeader, &in.Host}, {classHeader, &in.Class}} {
+		text, err := decodeText(r.Header.Get(f.name))
+		if err != nil {
+			return in, err
+		}
+		*f.into = text
+	}
+	in.Header = strip(r.Header)
+	in.ID = platform.RequestID(in.Header)
+	return in, nil
+}
+
+func writeAnswer(w http.ResponseWriter, a request.Answer) {
+	h := w.Header()
+	if a.HasLoad {
+		h.Set(loadHeader, encodeLoad(a.Load))
+	}
+	if a.Response == nil {
+		writeFailure(w, a)
+		return
+	}
+	defer a.Response.Body.Close()
+	maps.Copy(h, pool.EndToEnd(a.Response.Header))
+	h.Set(outcomeHeader, outcomeAnswer)
+	if a.Shed {
+		h.Set(outcomeHeader, outcomeShed)
+	}
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil // keeps the server from adding one
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if a.Response.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Response.ContentLength, 10))
+	}
+	w.WriteHeader(a.Response.StatusCode)
+	if _, err := io.Copy(w, a.Response.Body); err != nil {
+		panic(http.ErrAbortHandler) // the other node must see that the answer was cut
+	}
+}
+
+func writeFailure(w http.ResponseWriter, a request.Answer) {
+	h := w.Header()
+	outcome := outcomeNotSent
+	if a.Reached {
+		outcome = outcomeUnknown
+	}
+	h.Set(outcomeHeader, outcome)
+	h.Set(kindHeader, gd.KindOf(a.Err).String())
+	h.Set(errorHeader, encodeText(gd.Message(a.Err)))
+	h.Set(comeBackHeader, strconv.FormatInt(a.ComeBack.Milliseconds(), 10))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func serveExchange(members Roster, w http.ResponseWriter, r *http.Request) {
+	m, err := decodeMessage(r.Body)
+	if err != nil {
+		http.Error(w, gd.Message(err), http.StatusBadRequest)
+		return
+	}
+	data, err := cbor.Marshal(members.Answer(r.Context(), m))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data) // the other node sees a cut answer
+}
--- /dev/null
+++ b/internal/proxy/peer/header.go
@@ -0,0 +1,149 @@
+// Package peer carries requests and messages between nodes over HTTP/2 without
+// encryption: one connection a pair of nodes, on which an upload does not hold
+// up other requests and a client that leaves ends its request alone.
+package peer
+
+import (
+	"encoding/base64"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/placement"
+	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+)
+
+// Paths that a node serves to others.
+const (
+	requestPath  = "/request"
+	exchangePath = "/exchange"
+)
+
+// Header fields between nodes. All begin with prefix, so that none is passed on.
+const (
+	prefix         = "Geraniumdock-"
+	metaHeader     = prefix + "Meta"      // the fields of a request that are not the client's
+	targetHeader   = prefix + "Target"    // path and query
+	hostHeader     = prefix + "Host"      // the client's
+	classHeader    = prefix + "Class"     // of the request
+	outcomeHeader  = prefix + "Outcome"   // of a try
+	errorHeader    = prefix + "Error"     // text of the error
+	kindHeader     = prefix + "Kind"      // kind of the error
+	comeBackHeader = prefix + "Come-Back" // milliseconds
+	loadHeader     = prefix + "Load"
+)
+
+// Values of outcomeHeader.
+const (
+	outcomeAnswer  = "answer"
+	outcomeShed    = "shed"
+	outcomeNotSent = "not-sent"
+	outcomeUnknown = "unknown"
+)
+
+// encodeMeta writes the fields of a request that the client did not send.
+func encodeMeta(r request.Request) string {
+	flags := 0
+	for i, set := range []bool{r.Idempotent, r.Inner, r.MayWait} {
+		if set {
+			flags |= 1 << i
+		}
+	}
+	return strings.Join([]string{
+		r.Service, r.Caller, strconv.Itoa(flags), strconv.Itoa(r.Priority),
+		strconv.FormatInt(r.Left.Milliseconds(), 10), strconv.FormatInt(r.Objective.Milliseconds(), 10),
+		strconv.FormatUint(uint64(r.Fingerprint), 16),
+	}, " ")
+}
+
+const metaFields = 7
+
+func decodeMeta(text string, r *request.Request) error {
+	f := strings.Split(text, " ")
+	if len(f) != metaFields {
+		return gd.Malformed.Errorf("%s has %d fields, not %d", metaHeader, len(f), metaFields)
+	}
+	r.Service, r.Caller = f[0], f[1]
+	flags, err := strconv.Atoi(f[2])
+	if err != nil {
+		return gd.Malformed.Wrapf(err, "flags")
+	}
+	r.Idempotent, r.Inner, r.MayWait = flags&1 != 0, flags&2 != 0, flags&4 != 0
+	if r.Priority, err = strconv.Atoi(f[3]); err != nil {
+		return gd.Malformed.Wrapf(err, "priority")
+	}
+	left, err := strconv.ParseInt(f[4], 10, 64)
+	if err != nil {
+		return gd.Malformed.Wrapf(err, "time left")
+	}
+	objective, err := strconv.ParseInt(f[5], 10, 64)
+	if err != nil {
+		return gd.Malformed.Wrapf(err, "objective")
+	}
+	fingerprint, err := strconv.ParseUint(f[6], 16, 64)
+	if err != nil {
+		return gd.Malformed.Wrapf(err, "fingerprint")
+	}
+	r.Left, r.Objective = time.Duration(left)*time.Millisecond, time.Duration(objective)*time.Millisecond
+	r.Fingerprint = quarantine.Fingerprint(fingerprint)
+	return nil
+}
+
+func encodeLoad(l placement.Load) string {
+	return strings.Join([]string{
+		strconv.Itoa(l.Running), strconv.Itoa(l.Waiting), strconv.Itoa(l.Slots),
+		strconv.FormatInt(l.Mean.Microseconds(), 10), strconv.FormatInt(l.Wait.Microseconds(), 10),
+		strconv.FormatInt(l.Cold.Milliseconds(), 10), strconv.FormatFloat(l.Failing, 'f', 3, 64),
+	}, " ")
+}
+
+const loadFields = 7
+
+// decodeLoad reads a load. It reports false for one that cannot be read.
+func decodeLoad(text string) (placement.Load, bool) {
+	f := strings.Split(text, " ")
+	if len(f) != loadFields {
+		return placement.Load{}, false
+	}
+	var n [loadFields - 1]int64
+	for i := range n {
+		v, err := strconv.ParseInt(f[i], 10, 64)
+		if err != nil {
+			return placement.Load{}, false
+		}
+		n[i] = v
+	}
+	failing, err := strconv.ParseFloat(f[loadFields-1], 64)
+	if err != nil {
+		return placement.Load{}, false
+	}
+	return placement.Load{
+		Running: int(n[0]), Waiting: int(n[1]), Slots: int(n[2]),
+		Mean: time.Duration(n[3]) * time.Microsecond, Wait: time.Duration(n[4]) * time.Microsecond,
+		Cold: time.Duration(n[5]) * time.Millisecond, Failing: failing,
+	}, true
+}
+
+// Texts that may hold any byte travel as base64.
+func encodeText(s string) string { return base64.RawStdEncoding.EncodeToString([]byte(s)) }
+
+func decodeText(s string) (string, error) {
+	b, err := base64.RawStdEncoding.DecodeString(s)
+	if err != nil {
+		return "", gd.Malformed.Wrapf(err, "text")
+	}
+	return string(b), nil
+}
+
+// strip removes the fields between nodes.
+func strip(h http.Header) http.Header {
+	for name := range h {
+		if strings.HasPrefix(name, prefix) {
+			delete(h, name)
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/internal/proxy/sidecar/sidecar.go
@@ -0,0 +1,296 @@
+// Package sidecar assembles a node on the users' platform: the ingress for the
+// clients on its VM, the station before the backend server, the roster of the
+// fleet, and the addresses that the platform calls.
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
+	"github.com/geraniumdock/geraniumdock/internal/http1/listener"
+	"github.com/geraniumdock/geraniumdock/internal/proxy/ingress"
+	"github.com/geraniumdock/geraniumdock/internal/proxy/peer"
+	"github.com/geraniumdock/geraniumdock/internal/proxy/station"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/meter"
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+	"github.com/geraniumdock/geraniumdock/settings"
+)
+
+const (
+	serversKind = "geraniumdock-servers" // of the entries that nodes write
+	// spoolBytes is how much of a request's body is kept so that it can be
+	// offered to another node.
+	spoolBytes = 1 << 20
+	// noticeTime is how long after SIGTERM the platform may still send clients
+	// here: it asks for readiness once a second and believes the second miss.
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin is how long before the platform kills the process it ends.
+	stopMargin = 700 * time.Millisecond
+	stopTick   = 50 * time.Millisecond
+	// repeatShare is the part of the platform's retry ratio that is used. Calls
+	// that a repeated request makes count as repeats at the services they go
+	// to, and a node does not see which they are.
+	repeatShare = 0.5
+)
+
+// Config says what a sidecar works with.
+type Config struct {
+	Settings  settings.Sidecar
+	Bounds    platform.Bounds
+	Catalogue gd.Catalogue
+	Clock     gd.Clock
+	Log       hclog.Logger
+	Meter     *meter.Meter
+	Seed      uint64
+}
+
+// Sidecar is one node. Use New.
+type Sidecar struct {
+	cfg     Config
+	roster  *roster.Roster
+	station *station.Station
+	ingress *ingress.Ingress
+	client  *peer.Client
+	peers   *peer.Server
+	clients *listener.Server
+	web     []*http.Server // what the platform calls
+
+	listeners map[string]net.Listener
+	closing   atomic.Bool
+	cancel    context.CancelFunc
+	ctx       context.Context
+	done      chan struct{}
+	closed    sync.Once
+}
+
+// New opens the node's addresses. Start makes it serve.
+func New(cfg Config) (*Sidecar, error) {
+	s := &Sidecar{cfg: cfg, client: peer.NewClient(), listeners: map[string]net.Listener{}, done: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	st := cfg.Settings
+	s.roster = roster.New(roster.Config{
+		Self: server.Record{
+			Node: st.Node, Address: st.Listen.Peers, DataCentre: st.DataCentre, Region: st.Region,
+			Incarnation: uint64(cfg.Clock.Now()),
+		},
+		Catalogue:  cfg.Catalogue,
+		Policies:   platform.ConfigKind,
+		Policy:     platform.ConfigName,
+		Servers:    serversKind,
+		Decode:     platform.DecodePolicy,
+		Exchanger:  s.client,
+		Clock:      cfg.Clock,
+		Log:        cfg.Log,
+		Random:     s.random(1),
+		OnAdoption: func(r server.Record) { s.station.Adopt(r) },
+	})
+	s.station = station.New(station.Config{
+		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: cfg.Bounds.Drain,
+		Clock: cfg.Clock, Log: cfg.Log,
+		Announce: func(r server.Record) { go s.roster.Announce(s.ctx, r) },
+		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
+		Verdict: func(fp quarantine.Fingerprint) quarantine.Verdict {
+			return s.roster.Snapshot().Register.Verdict(cfg.Clock.Now(), fp)
+		},
+		Observe: func(o station.Outcome) { cfg.Meter.Served(o.Status, o.Wait, o.Slot) },
+	})
+	s.ingress = ingress.New(ingress.Config{
+		Node: st.Node, DataCentre: st.DataCentre, Service: st.Server.Service,
+		Snapshot: s.roster.Snapshot, Peers: s.client, Station: s.station,
+		Terms:  budget.Terms{Window: cfg.Bounds.RepeatWindow, Ratio: repeatShare * cfg.Bounds.RepeatRatio, Slack: repeatShare * cfg.Bounds.RepeatSlack},
+		Clock:  cfg.Clock,
+		Log:    cfg.Log,
+		Random: s.random(2),
+		Observe: func(o ingress.Outcome) {
+			cfg.Meter.Answered(o.Status, o.Took, o.Tries, o.Reached)
+			if o.Failed {
+				cfg.Meter.Failed(o.Kind)
+			}
+		},
+	})
+	s.clients = listener.New(s.ingress, refusals{cfg.Log}, s.limits, spoolBytes)
+	s.peers = peer.NewServer(s.station, s.roster, cfg.Log)
+	s.gauges()
+	if err := s.listen(); err != nil {
+		s.closeListeners()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Sidecar) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(s.cfg.Seed, stream))
+}
+
+// startLimits are in force until a policy is known.
+var startLimits = route.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+func (s *Sidecar) limits() route.Limits {
+	if p := s.roster.Snapshot().Policy; p != nil {
+		return p.Limits
+	}
+	return startLimits
+}
+
+// refusals logs connections that are closed because of what came on them.
+type refusals struct{ log hclog.Logger }
+
+// Refused writes a line.
+func (r refusals) Refused(remote string, err error) {
+	r.log.Info(event.ConnectionRefused, "remote", remote, "kind", gd.KindOf(err).String(), "error", gd.Message(err))
+}
+
+func (s *Sidecar) gauges() {
+	m := s.cfg.Meter
+	m.Gauge("geraniumdock_policy_version", func() float64 {
+		if p := s.roster.Snapshot().Policy; p != nil {
+			return float64(p.Version)
+		}
+		return 0
+	})
+	m.Gauge("geraniumdock_nodes", func() float64 { return float64(s.roster.Snapshot().Nodes()) })
+	m.Gauge("geraniumdock_client_connections", func() float64 { return float64(s.clients.Connections()) })
+	m.Gauge("geraniumdock_server_connections_opened", func() float64 { return float64(s.station.Opened()) })
+	m.Gauge("geraniumdock_slots_used", func() float64 { return float64(s.station.Load().Running) })
+	m.Gauge("geraniumdock_waiting", func() float64 { return float64(s.station.Load().Waiting) })
+}
+
+func (s *Sidecar) listen() error {
+	l := s.cfg.Settings.Listen
+	for _, a := range []struct{ name, address string }{
+		{"peers", l.Peers}, {"announcements", l.Announcements}, {"ready", l.Ready}, {"clients", l.Clients}, {"metrics", l.Metrics},
+	} {
+		opened, err := net.Listen("tcp", a.address)
+		if err != nil {
+			return gd.Unavailable.Wrapf(err, "key listen.%s", a.name)
+		}
+		s.listeners[a.name] = opened
+	}
+	return nil
+}
+
+func (s *Sidecar) closeListeners() {
+	for _, l := range s.listeners {
+		l.Close() // the process ends
+	}
+}
+
+// Address returns the address of a listener: clients, peers, ready,
+// announcements or metrics.
+func (s *Sidecar) Address(name string) string { return s.listeners[name].Addr().String() }
+
+// Start makes the node serve. It returns at once.
+func (s *Sidecar) Start() {
+	root := suture.New("sidecar", suture.Spec{EventHook: func(e suture.Event) {
+		if e.Type() == suture.EventTypeServicePanic || e.Type() == suture.EventTypeServiceTerminate {
+			s.cfg.Log.Error("service-ended", "event", e.String())
+		}
+	}})
+	root.Add(service{"roster", s.roster.Run})
+	root.Add(service{"station", s.station.Run})
+	root.Add(s.accept("peers", s.peers.Serve))
+	root.Add(s.accept("clients", s.clients.Serve))
+	for name, handler := range map[string]http.Handler{
+		"announcements": s.announcements(), "ready": s.readiness(), "metrics": s.cfg.Meter,
+	} {
+		web := &http.Server{Handler: handler, ReadHeaderTimeout: webTimeout, IdleTimeout: webIdle,
+			ErrorLog: s.cfg.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+		s.web = append(s.web, web)
+		root.Add(s.accept(name, func(l net.Listener) error { return web.Serve(l) }))
+	}
+	go func() {
+		defer close(s.done)
+		if err := root.Serve(s.ctx); err != nil && s.ctx.Err() == nil {
+			s.cfg.Log.Error("service-ended", "error", err)
+		}
+	}()
+	st := s.cfg.Settings
+	s.cfg.Log.Info(event.Started, "node", st.Node, "data-centre", st.DataCentre, "service", st.Server.Service,
+		"server", st.Server.Address, "clients", s.Address("clients"), "peers", s.Address("peers"), "store", st.Store.Address)
+}
+
+// service gives a function a name for the supervisor.
+type service struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Serve runs the function.
+func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
+
+// String returns the name.
+func (s service) String() string { return s.name }
+
+// accept serves a listener until the node closes.
+func (s *Sidecar) accept(name string, serve func(net.Listener) error) service {
+	return service{name, func(ctx context.Context) error {
+		err := serve(s.listeners[name])
+		if ctx.Err() != nil || s.closing.Load() || err == nil {
+			return suture.ErrDoNotRestart
+		}
+		return gd.Internal.Wrapf(err, "listener %s", name)
+	}}
+}
+
+// Close takes the node out of service: the platform and the other nodes learn
+// that it goes, what it has taken is finished, and everything is stopped.
+func (s *Sidecar) Close() error {
+	s.closed.Do(s.close)
+	return nil
+}
+
+func (s *Sidecar) close() {
+	grace := s.cfg.Bounds.Grace - stopMargin
+	began := s.cfg.Clock.Monotonic()
+	s.cfg.Log.Info(event.Stopping, "active", s.clients.Active(), "at-server", s.station.Active(), "grace", grace.String())
+	s.closing.Store(true)
+	s.station.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	s.roster.Leave(ctx)
+	s.clients.Drain()
+	s.awaitEnd(ctx, began)
+	if err := s.clients.Close(ctx); err != nil {
+		s.cfg.Log.Warn(event.Stopping, "error", err)
+	}
+	if err := s.peers.Close(ctx); err != nil {
+		s.cfg.Log.Warn(event.Stopping, "error", err)
+	}
+	for _, w := range s.web {
+		w.Close() // the platform asks again elsewhere
+	}
+	s.cancel()
+	<-s.done
+	s.client.Close()
+	s.station.Close()
+	s.cfg.Log.Info(event.Stopped, "took", (s.cfg.Clock.Monotonic() - began).String())
+}
+
+// awaitEnd waits until the platform sends no more clients and what was taken
+// has been answered.
+func (s *Sidecar) awaitEnd(ctx context.Context, began time.Duration) {
+	t := time.NewTicker(stopTick)
+	defer t.Stop()
+	for s.cfg.Clock.Monotonic()-began < noticeTime || s.clients.Active() > 0 || s.station.Active() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/station/serve.go
@@ -0,0 +1,333 @@
+package station
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/admission"
+	"github.com/geraniumdock/geraniumdock/internal/call/body"
+	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+// Do runs the request on the server. The context ends when the client has left
+// or its time is up.
+func (s *Station) Do(ctx context.Context, r request.Request) request.Answer {
+	ctx, cancel := context.WithTimeout(ctx, r.Left)
+	a := s.do(ctx, r)
+	a.Load, a.HasLoad = s.Load(), true
+	if a.Response == nil {
+		cancel()
+		return a
+	}
+	a.Response.Body = &ending{a.Response.Body, cancel}
+	return a
+}
+
+// ending is a body whose end ends the request's context.
+type ending struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body.
+func (e *ending) Close() error {
+	err := e.ReadCloser.Close()
+	e.cancel()
+	return err
+}
+
+func (s *Station) do(ctx context.Context, r request.Request) request.Answer {
+	arrived := s.now()
+	id, granted, refusal := s.submit(arrived, r)
+	if refusal.Err != nil {
+		s.logRefusal(r, refusal.Err)
+		return refusal
+	}
+	if err := s.await(ctx, id, granted); err != nil {
+		s.logRefusal(r, err)
+		a := request.Failed(err, false)
+		a.ComeBack = s.Load().Wait
+		return a
+	}
+	began := s.now()
+	a := s.exchange(ctx, id, r)
+	status := 0
+	if a.Response != nil {
+		status = a.Response.StatusCode
+	}
+	s.cfg.Observe(Outcome{Wait: began - arrived, Slot: s.now() - began, Status: status})
+	if a.Err != nil || status >= http.StatusInternalServerError {
+		s.cfg.Log.Warn(event.RequestServed, "id", r.ID, "instance", s.instance(), "status", status, "reached", a.Reached,
+			"waited", (began - arrived).String(), "took", (s.now() - began).String(), "error", message(a.Err))
+	}
+	return a
+}
+
+func message(err error) string {
+	if err == nil {
+		return ""
+	}
+	return gd.Message(err)
+}
+
+func (s *Station) logRefusal(r request.Request, err error) {
+	if !r.MayWait && gd.QueueFull.Is(err) {
+		return // the node that asked chooses again and logs that
+	}
+	load := s.Load()
+	s.cfg.Log.Info(event.RequestRefused, "id", r.ID, "kind", gd.KindOf(err).String(), "error", message(err),
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "left", r.Left.String())
+}
+
+func (s *Station) instance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.server.Instance
+}
+
+// submit queues the request or refuses it.
+func (s *Station) submit(now time.Duration, r request.Request) (uint64, <-chan error, request.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.check(r); err != nil {
+		return 0, nil, request.Failed(err, false)
+	}
+	s.lastID++
+	it := admission.Item{
+		ID: s.lastID, Class: r.Class, Inner: r.Inner, Priority: r.Priority,
+		Objective: now + r.Objective, Deadline: now + r.Left,
+	}
+	if refusal, ok := s.queue.Offer(now, it, r.MayWait); !ok {
+		a := request.Failed(refusal.Error(), false)
+		a.ComeBack = refusal.ComeBack
+		return 0, nil, a
+	}
+	granted := make(chan error, 1)
+	s.waiting[it.ID] = granted
+	s.flying[it.ID] = r.Fingerprint
+	s.start()
+	return it.ID, granted, request.Answer{}
+}
+
+// check refuses a request that is not for the server or that must not reach it.
+// The caller holds s.mu.
+func (s *Station) check(r request.Request) error {
+	switch {
+	case s.left:
+		return gd.Draining.Errorf("node %s is going", s.cfg.Node)
+	case !s.known:
+		return gd.Misplaced.Errorf("no server has announced itself at node %s", s.cfg.Node)
+	case s.server.Service != r.Service:
+		return gd.Misplaced.Errorf("the server beside node %s is one of %s", s.cfg.Node, s.server.Service)
+	case s.state == server.Lost:
+		return gd.Misplaced.Errorf("the server beside node %s is down", s.cfg.Node)
+	case s.state != server.Up:
+		return gd.Draining.Errorf("the server beside node %s is %s", s.cfg.Node, s.state)
+	}
+	if s.cfg.Verdict(r.Fingerprint) == quarantine.Refused {
+		return gd.Quarantined.Errorf("requests like this one crashed servers")
+	}
+	return nil
+}
+
+// start hands out free slots. The caller holds s.mu.
+func (s *Station) start() {
+	if !s.mayStart() {
+		return
+	}
+	for _, it := range s.queue.Start(s.now()) {
+		if c, ok := s.waiting[it.ID]; ok {
+			delete(s.waiting, it.ID)
+			c <- nil
+		}
+	}
+}
+
+// await waits for a slot. A request whose client has left gives up its place.
+func (s *Station) await(ctx context.Context, id uint64, granted <-chan error) error {
+	select {
+	case err := <-granted:
+		if err != nil {
+			s.forget(id)
+		}
+		return err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	waited := s.queue.Cancel(id)
+	delete(s.waiting, id)
+	s.mu.Unlock()
+	if !waited {
+		s.free(id, false)
+	}
+	s.forget(id)
+	return gd.Hopeless.Errorf("the request was given up while it waited")
+}
+
+func (s *Station) forget(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.flying, id)
+}
+
+// free gives the slot to the next request. Whole says that the request ran to
+// its end, so that its time counts.
+func (s *Station) free(id uint64, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Done(s.now(), id, whole)
+	delete(s.flying, id)
+	s.start()
+}
+
+// exchange sends the request to the server. The slot is free when it returns,
+// or when the body of the response is closed.
+func (s *Station) exchange(ctx context.Context, id uint64, r request.Request) request.Answer {
+	req := s.outgoing(ctx, r)
+	result := s.pool.Do(ctx, pool.Request{Request: req, Target: r.Target, ID: r.ID, Idempotent: r.Idempotent})
+	if result.Err != nil {
+		s.broken(ctx, id, result)
+		s.free(id, false)
+		return request.Failed(result.Err, result.Reached)
+	}
+	res := result.Response
+	held, whole, err := body.Hold(res)
+	if err != nil {
+		s.outcome(false)
+		res.Body.Close()
+		s.free(id, false)
+		if ctx.Err() != nil {
+			return request.Failed(gd.TimedOut.Wrapf(ctx.Err(), "the answer of the server was not complete"), true)
+		}
+		return request.Failed(gd.Unknown.Wrapf(err, "the answer of the server was cut"), true)
+	}
+	a := request.Answer{Response: res, Reached: true, Shed: platform.IsNotRun(res)}
+	if err := checkAnswer(res); err != nil {
+		s.outcome(false)
+		res.Body.Close()
+		s.free(id, false)
+		return request.Failed(err, true)
+	}
+	s.outcome(res.StatusCode < http.StatusInternalServerError)
+	if whole {
+		res.Body.Close()
+		body.WithHeld(res, held)
+		s.free(id, res.StatusCode < http.StatusInternalServerError)
+		return a
+	}
+	res.Body = &streamed{Reader: io.MultiReader(bytes.NewReader(held), res.Body), body: res.Body, free: func() { s.free(id, true) }}
+	return a
+}
+
+// checkAnswer refuses an answer that cannot be the server's.
+func checkAnswer(res *http.Response) error {
+	switch {
+	case res.StatusCode >= 200 && res.StatusCode < 300 && !platform.IsSealed(res.Header):
+		return gd.Unknown.Errorf("the server's answer %d is not sealed", res.StatusCode)
+	case res.Header.Get("Content-Encoding") != "":
+		return gd.Unknown.Errorf("the server's answer is encoded as %s", res.Header.Get("Content-Encoding"))
+	}
+	return nil
+}
+
+// streamed is the body of an answer that is passed on while it arrives.
+type streamed struct {
+	io.Reader
+	body io.Closer
+	free func()
+	done bool
+}
+
+// Close frees the slot.
+func (b *streamed) Close() error {
+	if b.done {
+		return nil
+	}
+	b.done = true
+	err := b.body.Close()
+	b.free()
+	return err
+}
+
+func (s *Station) outgoing(ctx context.Context, r request.Request) *http.Request {
+	h := pool.EndToEnd(r.Header)
+	left := r.Left
+	if deadline, ok := ctx.Deadline(); ok {
+		left = min(left, time.Until(deadline))
+	}
+	platform.SetDeadline(h, left)
+	platform.SetCaller(h, r.Caller)
+	platform.SetExpected(h, s.instance())
+	return &http.Request{Method: r.Method, Host: r.Host, Header: h, Body: r.Body, ContentLength: r.ContentLength}
+}
+
+// outcome counts whether the server served a request.
+func (s *Station) outcome(ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	failed := 0.0
+	if !ok {
+		failed = 1
+	}
+	s.failing += smoothing * (failed - s.failing)
+}
+
+// broken notes that the exchange with the server failed. A connection that is
+// refused soon after others broke shows that the server has crashed.
+func (s *Station) broken(ctx context.Context, id uint64, result pool.Result) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.failing += smoothing * (1 - s.failing)
+	if result.Reached {
+		if now-s.cutAt > crashWindow {
+			s.cut = nil
+		}
+		if len(s.cut) < maxSuspects {
+			s.cut = append(s.cut, s.flying[id])
+		}
+		s.cutAt = now
+		return
+	}
+	if s.state != server.Up {
+		return
+	}
+	s.state = server.Lost
+	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", message(result.Err), "cut", len(s.cut))
+	for _, it := range s.queue.Clear() {
+		s.refuse(it.ID, gd.Misplaced.Errorf("the server beside node %s is down", s.cfg.Node))
+	}
+	s.reportCrash(now)
+	s.announce()
+}
+
+// reportCrash makes the requests known that were in flight at a crash. The
+// caller holds s.mu.
+func (s *Station) reportCrash(now time.Duration) {
+	if len(s.cut) == 0 || now-s.cutAt > crashWindow {
+		return
+	}
+	s.crashes++
+	reports := make([]quarantine.Report, 0, len(s.cut))
+	for _, fp := range s.cut {
+		reports = append(reports, quarantine.Report{
+			Fingerprint: fp, Node: s.cfg.Node, Incarnation: uint64(s.server.Started) + s.crashes,
+			At: s.cfg.Clock.Now(), Alone: len(s.cut) == 1,
+		})
+	}
+	s.cut = nil
+	s.cfg.Log.Warn(event.Suspected, "instance", s.server.Instance, "requests", len(reports))
+	s.cfg.Report(reports)
+}
--- /dev/null
+++ b/internal/proxy/station/station.go
@@ -0,0 +1,277 @@
+// Package station runs requests on the backend server beside the node. It alone
+// reaches that server, so it knows the slots in use, whether a request has run,
+// and when the server leaves.
+package station
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/call/admission"
+	"github.com/geraniumdock/geraniumdock/internal/call/placement"
+	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+const (
+	// drainShare is the part of the drain bound within which requests that
+	// wait already are still sent to a server that leaves.
+	drainShare = 0.5
+	tick       = 50 * time.Millisecond
+	smoothing  = 0.1 // weight of the newest outcome in the share of failures
+	// crashWindow is how close a refused connection must follow cut requests
+	// to be taken for a crash of the server.
+	crashWindow = 2 * time.Second
+	maxSuspects = 64 // requests in flight at one crash that are remembered
+)
+
+// Config says what a station works with.
+type Config struct {
+	Node     string
+	Address  string        // of the backend server
+	Service  string        // that the settings name for the server
+	Drain    time.Duration // longest time from the notice of a leave to the last request
+	Clock    gd.Clock
+	Log      hclog.Logger
+	Random   *rand.Rand
+	Announce func(server.Record)       // told of each change of the server's record
+	Report   func([]quarantine.Report) // told of requests in flight when the server crashed
+	Verdict  func(quarantine.Fingerprint) quarantine.Verdict
+	Observe  func(Outcome) // told of each request that reached the server
+}
+
+// Outcome is what is measured of a request that reached the server.
+type Outcome struct {
+	Wait, Slot time.Duration
+	Status     int // 0 if there was no answer
+}
+
+// Station serves one backend server. Use New.
+type Station struct {
+	cfg  Config
+	pool *pool.Pool
+
+	mu       sync.Mutex
+	queue    *admission.Queue
+	server   platform.Announcement
+	state    server.State
+	known    bool          // a server has announced itself or was adopted
+	leaving  time.Duration // instant at which the server began to leave
+	left     bool          // the node itself goes
+	coldTill time.Duration
+	failing  float64
+	lastID   uint64
+	waiting  map[uint64]chan error // nil gives the slot
+	flying   map[uint64]quarantine.Fingerprint
+	cut      []quarantine.Fingerprint // in flight when connections broke
+	cutAt    time.Duration
+	crashes  uint64
+}
+
+// New returns a station for the server at cfg.Address.
+func New(cfg Config) *Station {
+	return &Station{
+		cfg:     cfg,
+		pool:    pool.New(cfg.Address, platform.RequestID),
+		queue:   admission.New(1),
+		state:   server.Lost,
+		waiting: map[uint64]chan error{},
+		flying:  map[uint64]quarantine.Fingerprint{},
+	}
+}
+
+func (s *Station) now() time.Duration { return s.cfg.Clock.Monotonic() }
+
+// Run refuses the requests that can no longer be served until ctx ends.
+func (s *Station) Run(ctx context.Context) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.expire()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Close closes the connections to the server.
+func (s *Station) Close() { s.pool.Close() }
+
+// Opened returns how many connections to the server have been opened.
+func (s *Station) Opened() uint64 { return s.pool.Opened() }
+
+// Announced takes an announcement of the server. An error of kind Invalid means
+// that it is not the server beside this node.
+func (s *Station) Announced(a platform.Announcement) error {
+	if a.Address != s.cfg.Address {
+		return gd.Invalid.Errorf("address: %s is not the server beside this node, %s is", a.Address, s.cfg.Address)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known && isOlder(a, s.server) {
+		return nil
+	}
+	if s.known && a.Started == s.server.Started && s.state == server.Gone {
+		return nil // a late announcement of a server that has left
+	}
+	fresh := !s.known || a.Started != s.server.Started || a.Instance != s.server.Instance
+	a.Draining = a.Draining || !fresh && s.server.Draining
+	was := s.state
+	s.server, s.known = a, true
+	s.coldTill = s.now() + a.ColdFor
+	s.queue.SetSlots(a.Slots)
+	switch {
+	case a.Draining && was != server.Draining:
+		s.leave(server.Draining)
+	case !a.Draining:
+		s.state = server.Up
+	}
+	if fresh {
+		s.failing = 0
+	}
+	if fresh || was != s.state {
+		s.cfg.Log.Info(event.ServerAnnounced, "instance", a.Instance, "service", a.Service, "started", a.Started.String(),
+			"sequence", a.Sequence, "slots", a.Slots, "state", s.state.String(), "before", was.String(), "cold-for", a.ColdFor.String())
+		s.announce()
+	}
+	return nil
+}
+
+// isOlder reports whether a was said before b: by an earlier incarnation, or
+// earlier by the same one.
+func isOlder(a, b platform.Announcement) bool {
+	if a.Started != b.Started {
+		return a.Started < b.Started
+	}
+	return a.Instance == b.Instance && a.Sequence <= b.Sequence
+}
+
+// Left takes the server's notice that it has left. Started is 0 if the notice
+// does not tell which incarnation leaves.
+func (s *Station) Left(instance string, started clock.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known && (s.server.Instance != "" && instance != s.server.Instance || started != 0 && started < s.server.Started) {
+		return
+	}
+	if started > s.server.Started {
+		s.server = platform.Announcement{Instance: instance, Started: started, Service: s.server.Service, Slots: s.server.Slots}
+	}
+	s.known = true
+	s.cfg.Log.Info(event.ServerLeft, "instance", instance, "started", s.server.Started.String(), "before", s.state.String())
+	if s.state != server.Draining {
+		s.leave(server.Gone)
+	}
+	s.state = server.Gone
+	s.announce()
+}
+
+// leave begins the time in which requests that wait already are still sent.
+// The caller holds s.mu.
+func (s *Station) leave(state server.State) {
+	s.state = state
+	s.leaving = s.now()
+}
+
+// Adopt takes the record that an earlier process of this node left, so that its
+// server is used before it announces itself again.
+func (s *Station) Adopt(r server.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known || s.left {
+		return
+	}
+	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
+	s.known, s.state = true, server.Up
+	s.queue.SetSlots(r.Slots)
+	s.announce()
+}
+
+// Drain has the station refuse requests from now on because the node goes.
+func (s *Station) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = true
+}
+
+// announce passes on the server's record. The caller holds s.mu.
+func (s *Station) announce() {
+	s.cfg.Announce(server.Record{
+		Service:  s.server.Service,
+		Instance: s.server.Instance,
+		Slots:    s.server.Slots,
+		Started:  s.server.Started,
+		State:    s.state,
+	})
+}
+
+// Load returns the load of the server.
+func (s *Station) Load() placement.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load()
+}
+
+func (s *Station) load() placement.Load {
+	return placement.Load{
+		Running: s.queue.Running(),
+		Waiting: s.queue.Waiting(),
+		Slots:   s.queue.Slots(),
+		Mean:    s.queue.Mean(),
+		Wait:    s.queue.Wait(),
+		Cold:    max(0, s.coldTill-s.now()),
+		Failing: s.failing,
+	}
+}
+
+// Active returns the number of requests that wait or run.
+func (s *Station) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Running() + s.queue.Waiting()
+}
+
+// expire refuses requests that wait in vain.
+func (s *Station) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, it := range s.queue.Expire(s.now()) {
+		s.refuse(it.ID, gd.Hopeless.Errorf("the deadline comes before the request can be served"))
+	}
+	if !s.mayStart() {
+		for _, it := range s.queue.Clear() {
+			s.refuse(it.ID, gd.Draining.Errorf("the server is %s", s.state))
+		}
+	}
+}
+
+// mayStart reports whether a request that waits may still be sent to the
+// server. The caller holds s.mu.
+func (s *Station) mayStart() bool {
+	switch s.state {
+	case server.Up:
+		return true
+	case server.Draining, server.Gone:
+		return s.leaving > 0 && s.now()-s.leaving < time.Duration(drainShare*float64(s.cfg.Drain))
+	}
+	return false
+}
+
+// refuse answers a request that waits. The caller holds s.mu.
+func (s *Station) refuse(id uint64, err error) {
+	if c, ok := s.waiting[id]; ok {
+		delete(s.waiting, id)
+		c <- err
+	}
+}
--- a/platform/http.go
+++ b/internal/store/object/http.go
@@ -1,4 +1,4 @@
-package platform
+package object
 
 import (
 	"bytes"
--- a/platform/memory.go
+++ b/internal/store/object/memory.go
@@ -1,7 +1,7 @@
-// Package platform holds the stand-ins for the platform's object service, in
+// Package object holds the stand-ins for the platform's object service, in
 // memory and over HTTP, with call counts and switchable faults, and the client
 // that bounds and retries every call that the product makes.
-package platform
+package object
 
 import (
 	"context"
--- a/kind.go
+++ b/kind.go
@@ -32,6 +32,10 @@
 	NotFound                    // no such object
 	Unavailable                 // the platform did not answer
 	TooLarge                    // a value above MaxObjectBytes
+	Expired                     // the history that was asked for is gone
+	Malformed                   // a message that does not follow the protocol
+	Misplaced                   // the server beside the node is not the one that was meant
+	Spent                       // the budget of retries is used up
 	kindCount
 )
 
@@ -75,6 +79,10 @@
 	NotFound:        {"not-found", http.StatusNotFound, NotRun, 0, false},
 	Unavailable:     {"unavailable", http.StatusServiceUnavailable, Uncertain, time.Second, false},
 	TooLarge:        {"too-large", http.StatusRequestEntityTooLarge, NotRun, 0, false},
+	Expired:         {"expired", http.StatusGone, NotRun, 0, false},
+	Malformed:       {"malformed", http.StatusBadRequest, NotRun, 0, false},
+	Misplaced:       {"misplaced", http.StatusServiceUnavailable, NotRun, time.Second, true},
+	Spent:           {"spent", http.StatusServiceUnavailable, NotRun, time.Second, false},
 }
 
 var (
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -14,7 +14,7 @@
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
 	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
-	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 )
 
 const key = "relay/dc/0"
@@ -60,7 +60,7 @@
 
 func TestOneHolderAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := platform.NewMemory()
+		m := object.NewMemory()
 		var cs []*candidate
 		for i := range 3 {
 			cs = append(cs, newCandidate(fmt.Sprint("n", i), m))
@@ -68,7 +68,7 @@
 		now := clock.Time(1000)
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
-			m.SetFaults(platform.Faults{
+			m.SetFaults(object.Faults{
 				Outage:      rapid.IntRange(0, 9).Draw(t, "outage") == 0,
 				LoseAnswers: rapid.IntRange(0, 5).Draw(t, "lose") / 5,
 			})
@@ -89,7 +89,7 @@
 
 func TestPausedHolderLearnsThatItsLeaseLapsed(t *testing.T) {
 	is := is.New(t)
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	a, b := newCandidate("a", m), newCandidate("b", m)
 	now := clock.Time(0)
 	a.step(now)
@@ -108,10 +108,10 @@
 
 func TestLostAnswerIsReadBack(t *testing.T) {
 	is := is.New(t)
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	a := newCandidate("a", m)
 	a.step(0)
-	m.SetFaults(platform.Faults{LoseAnswers: 1})
+	m.SetFaults(object.Faults{LoseAnswers: 1})
 	a.step(0)
 	is.True(!a.lease.Held(0)) // not known yet
 	now := clock.Time(0).Add(time.Second)
--- a/node/call_bench_test.go
+++ b/node/call_bench_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/demo"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/node"
-	"github.com/geraniumdock/geraniumdock/platform"
 )
 
 // path is one ingress without a server and nodes with one, so that every call
@@ -31,7 +31,7 @@
 
 func newPath(b *testing.B, servers, slots int) *path {
 	b.Helper()
-	f, err := demo.NewFleet(platform.NewMemory(), hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: io.Discard}))
+	f, err := demo.NewFleet(object.NewMemory(), hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: io.Discard}))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/node/control_bench_test.go
+++ b/node/control_bench_test.go
@@ -14,7 +14,7 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/demo"
-	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/table"
 )
 
@@ -27,7 +27,7 @@
 	*demo.Fleet
 	b      *testing.B
 	ctx    context.Context
-	memory *platform.Memory
+	memory *object.Memory
 	edits  int
 
 	dataCentres int
@@ -40,7 +40,7 @@
 
 func newBenchFleet(b *testing.B, nodes, dataCentres int, gather time.Duration) *benchFleet {
 	b.Helper()
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	f, err := demo.NewFleet(m, hclog.NewNullLogger())
 	if err != nil {
 		b.Fatal(err)
@@ -274,7 +274,7 @@
 // the periods that relays use.
 func benchmarkDirect(b *testing.B, nodes int) {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	f, err := demo.NewFleet(m, hclog.NewNullLogger())
 	if err != nil {
 		b.Fatal(err)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -22,8 +22,8 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/demo"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/node"
-	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/server"
 	"github.com/geraniumdock/geraniumdock/table"
 )
@@ -37,13 +37,13 @@
 	*demo.Fleet
 	t        *testing.T
 	ctx      context.Context
-	memory   *platform.Memory
+	memory   *object.Memory
 	backends []*demo.Backend
 }
 
 func newMesh(t *testing.T) *mesh {
 	t.Helper()
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	log := hclog.New(&hclog.LoggerOptions{Name: "test", Level: hclog.LevelFromString(cmp.Or(os.Getenv("GD_LOG"), "off"))})
 	f, err := demo.NewFleet(m, log)
 	if err != nil {
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	x := &mesh{Fleet: f, t: t, ctx: ctx, memory: m}
 	t.Cleanup(func() {
-		m.SetFaults(platform.Faults{})
+		m.SetFaults(object.Faults{})
 		for _, b := range x.backends {
 			b.Close()
 		}
@@ -463,18 +463,18 @@
 	is.Equal(bad.Load(), int32(0))
 	is.Equal(runs.Load(), int32(1))
 	// Answers of the claim's write are lost.
-	x.memory.SetFaults(platform.Faults{LoseAnswers: 2})
+	x.memory.SetFaults(object.Faults{LoseAnswers: 2})
 	is.Equal(keyed(x.Nodes[0], "die-2").body, "engraving 2")
 	is.Equal(keyed(x.Nodes[1], "die-2").body, "engraving 2")
 	// Without the platform the call is refused and does not run; repeated
 	// afterwards, it runs.
-	x.memory.SetFaults(platform.Faults{Outage: true})
+	x.memory.SetFaults(object.Faults{Outage: true})
 	r := keyed(x.Nodes[0], "die-3")
 	is.Equal(r.kind, "claims-down")
 	is.Equal(r.outcome, "not-run")
 	is.Equal(runs.Load(), int32(2))
 	is.Equal(x.call(x.Nodes[0], http.MethodPost, "no-key").status, http.StatusOK) // others go on
-	x.memory.SetFaults(platform.Faults{})
+	x.memory.SetFaults(object.Faults{})
 	is.Equal(keyed(x.Nodes[2], "die-3").body, "engraving 4")
 	is.Equal(runs.Load(), int32(4))
 }
@@ -510,7 +510,7 @@
 	if owner == 0 {
 		t.Fatal("the key's owner is the ingress; choose another key")
 	}
-	x.memory.SetFaults(platform.Faults{Outage: true})
+	x.memory.SetFaults(object.Faults{Outage: true})
 	x.Nodes[0].Kill()
 	<-lost
 	repeat := make(chan reply, 1)
@@ -623,7 +623,7 @@
 		x.add(fmt.Sprint("n", i), "dc-a", nil)
 	}
 	version := x.edit("first", demo.SetService("tags", "/"), demo.SetCaller("app", "app-token"), demo.Set("app", "tags", "weight", "1"))
-	x.memory.SetFaults(platform.Faults{Outage: true})
+	x.memory.SetFaults(object.Faults{Outage: true})
 	for _, n := range x.Nodes[2:] {
 		n.Kill()
 	}
@@ -642,14 +642,14 @@
 	is.Equal(x.call(x.Nodes[5], http.MethodPost, "during").status, http.StatusOK)
 	_, err := x.Edit(x.ctx, "refused", demo.Set("app", "tags", "weight", "2"))
 	is.True(gd.Unavailable.Is(err))
-	x.memory.SetFaults(platform.Faults{})
+	x.memory.SetFaults(object.Faults{})
 	x.edit("after", demo.Set("app", "tags", "weight", "3"))
 }
 
 func TestNodeWithoutPlatformAndRelaysRefusesCalls(t *testing.T) {
 	is := is.New(t)
 	x := newMesh(t)
-	x.memory.SetFaults(platform.Faults{Outage: true})
+	x.memory.SetFaults(object.Faults{Outage: true})
 	x.add("alone", "dc-a", nil)
 	r := x.call(x.Nodes[0], http.MethodPost, "x")
 	is.Equal(r.kind, "not-ready")
--- a/server/record.go
+++ b/server/record.go
@@ -52,6 +52,7 @@
 	Sequence    uint64     `cbor:"9,keyasint" json:"sequence"`
 	State       State      `cbor:"10,keyasint,omitempty" json:"state"`
 	Unhealthy   bool       `cbor:"11,keyasint,omitempty" json:"unhealthy"` // what its own endpoint says, a hint
+	Instance    string     `cbor:"12,keyasint,omitempty" json:"instance"`  // the server's own name of this start
 }
 
 // Compare orders records of one node by age: positive when r is newer than q.
@@ -167,3 +168,6 @@
 	delete(records, node)
 	return Directory{records, d.generation + 1}
 }
+
+// Len returns the number of records.
+func (d Directory) Len() int { return len(d.records) }
--- a/table/editor_test.go
+++ b/table/editor_test.go
@@ -9,16 +9,16 @@
 	"github.com/matryer/is"
 
 	gd "github.com/geraniumdock/geraniumdock"
-	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/internal/store/object"
 )
 
 func weight(id, caller, value string, read uint64) Edit {
 	return Edit{ID: id, Author: id, Changes: []Change{{Key: RowKey(caller, "s", "weight"), Value: value, Read: read}}}
 }
 
-func newTable(t *testing.T) (*platform.Memory, *Editor) {
+func newTable(t *testing.T) (*object.Memory, *Editor) {
 	t.Helper()
-	m := platform.NewMemory()
+	m := object.NewMemory()
 	e := NewEditor(m)
 	if _, err := e.Commit(context.Background(), sample()); err != nil {
 		t.Fatal(err)
@@ -31,11 +31,11 @@
 	for lost := 1; lost <= 3; lost++ {
 		is := is.New(t)
 		m, e := newTable(t)
-		m.SetFaults(platform.Faults{LoseAnswers: lost})
+		m.SetFaults(object.Faults{LoseAnswers: lost})
 		r, err := e.Commit(context.Background(), weight("x", "a", "5", 1))
 		is.NoErr(err)
 		is.Equal(r.Version, uint64(2))
-		m.SetFaults(platform.Faults{})
+		m.SetFaults(object.Faults{})
 		again, err := e.Commit(context.Background(), weight("x", "a", "5", 1))
 		is.NoErr(err)
 		is.Equal(again, Receipt{Version: 2, Repeat: true})
@@ -48,13 +48,13 @@
 func TestOutcomeThatCannotBeLearnedIsUnknown(t *testing.T) {
 	is := is.New(t)
 	m, e := newTable(t)
-	m.SetFaults(platform.Faults{LoseAnswers: 1000})
+	m.SetFaults(object.Faults{LoseAnswers: 1000})
 	_, err := e.Commit(context.Background(), weight("x", "a", "5", 1))
 	if err != nil {
 		is.True(gd.Unknown.Is(err))
 		is.True(strings.Contains(err.Error(), "x"))
 	}
-	m.SetFaults(platform.Faults{Outage: true})
+	m.SetFaults(object.Faults{Outage: true})
 	_, err = e.Commit(context.Background(), weight("y", "a", "6", 1))
 	is.True(gd.Unavailable.Is(err)) // nothing was sent
 }
