--- a/cmd/geraniumdock/sidecar.go
+++ b/cmd/geraniumdock/sidecar.go
@@ -31,7 +31,7 @@
 
 // Execute runs a node on the platform until a signal.
 func (c *sidecarCommand) Execute([]string) error {
-	s, bounds, err := readSidecar(c.Settings)
+	s, err := settings.ReadSidecar(c.Settings)
 	if err != nil {
 		return err
 	}
@@ -49,7 +49,7 @@
 		DisableCompression:  true,
 	})
 	n, err := sidecar.New(sidecar.Config{
-		Settings: s, Bounds: bounds, Catalogue: store, Clock: clk, Log: log, Meter: m, Seed: uint64(clk.Now()),
+		Settings: s, Catalogue: store, Clock: clk, Log: log, Meter: m, Seed: uint64(clk.Now()),
 	})
 	if err != nil {
 		return err
@@ -61,7 +61,7 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		if _, _, err := readSidecar(c.Settings); err != nil {
+		if _, err := settings.ReadSidecar(c.Settings); err != nil {
 			log.Error(event.Reloaded, "error", gd.Message(err))
 			continue
 		}
@@ -70,15 +70,3 @@
 	defer store.Close()
 	return n.Close()
 }
-
-func readSidecar(file string) (settings.Sidecar, platform.Bounds, error) {
-	s, err := settings.ReadSidecar(file)
-	if err != nil {
-		return s, platform.Bounds{}, err
-	}
-	bounds, err := platform.DecodeBounds(s.Bounds)
-	if err != nil {
-		return s, bounds, gd.Invalid.Errorf("%s: %s", file, gd.Message(err))
-	}
-	return s, bounds, nil
-}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -51,7 +51,6 @@
 // Config says what a sidecar works with.
 type Config struct {
 	Settings  settings.Sidecar
-	Bounds    platform.Bounds
 	Catalogue gd.Catalogue
 	Clock     gd.Clock
 	Log       hclog.Logger
@@ -100,7 +99,7 @@
 		OnAdoption: func(r server.Record) { s.station.Adopt(r) },
 	})
 	s.station = station.New(station.Config{
-		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: cfg.Bounds.Drain,
+		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.Drain(),
 		Clock: cfg.Clock, Log: cfg.Log,
 		Announce: func(r server.Record) { go s.roster.Announce(s.ctx, r) },
 		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
@@ -112,7 +111,7 @@
 	s.ingress = ingress.New(ingress.Config{
 		Node: st.Node, DataCentre: st.DataCentre, Service: st.Server.Service,
 		Snapshot: s.roster.Snapshot, Peers: s.client, Station: s.station,
-		Terms:  budget.Terms{Window: cfg.Bounds.RepeatWindow, Ratio: repeatShare * cfg.Bounds.RepeatRatio, Slack: repeatShare * cfg.Bounds.RepeatSlack},
+		Terms:  repeatTerms(st.Bounds),
 		Clock:  cfg.Clock,
 		Log:    cfg.Log,
 		Random: s.random(2),
@@ -133,6 +132,11 @@
 	return s, nil
 }
 
+func repeatTerms(b settings.SidecarBounds) budget.Terms {
+	window, ratio, slack := b.RepeatTerms()
+	return budget.Terms{Window: window, Ratio: repeatShare * ratio, Slack: repeatShare * slack}
+}
+
 func (s *Sidecar) random(stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(s.cfg.Seed, stream))
 }
@@ -255,7 +259,7 @@
 }
 
 func (s *Sidecar) close() {
-	grace := s.cfg.Bounds.Grace - stopMargin
+	grace := s.cfg.Settings.Bounds.Grace() - stopMargin
 	began := s.cfg.Clock.Monotonic()
 	s.cfg.Log.Info(event.Stopping, "active", s.clients.Active(), "at-server", s.station.Active(), "grace", grace.String())
 	s.closing.Store(true)
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -21,7 +21,7 @@
 	Server     SidecarServer     `yaml:"server"`
 	Listen     SidecarListen     `yaml:"listen"`
 	Store      SidecarStore      `yaml:"store"`
-	Bounds     []string          `yaml:"bounds"` // of the platform, each name=value
+	Bounds     SidecarBounds     `yaml:"bounds"`
 	MemoryMB   int               `yaml:"memory-mb"`
 	Log        Log               `yaml:"log"`
 	Regions    map[string]string `yaml:"regions"` // region of each data centre
@@ -42,6 +42,77 @@
 	Metrics       string `yaml:"metrics"`
 }
 
+// SidecarBounds are the bounds that the platform sets. Those that it leaves out
+// have the values of DefaultSidecarBounds.
+type SidecarBounds struct {
+	DrainSeconds        *float64 `yaml:"drain-seconds"`         // from the notice of a server's leave to the last request sent to it
+	GraceSeconds        *float64 `yaml:"grace-seconds"`         // from SIGTERM to SIGKILL
+	RepeatRatio         *float64 `yaml:"repeat-ratio"`          // repeats per request in a window, over all nodes
+	RepeatWindowSeconds *float64 `yaml:"repeat-window-seconds"` // length of that window
+	RepeatSlack         *float64 `yaml:"repeat-slack"`          // repeats in a window beyond the ratio
+}
+
+// The bounds where the platform sets none.
+const (
+	defaultDrain        = 2 * time.Second
+	defaultGrace        = 6 * time.Second
+	defaultRepeatRatio  = 0.1
+	defaultRepeatWindow = 10 * time.Second
+	defaultRepeatSlack  = 10
+)
+
+// Drain returns the time from the notice of a server's leave to the last
+// request sent to it.
+func (b SidecarBounds) Drain() time.Duration { return orSeconds(b.DrainSeconds, defaultDrain) }
+
+// Grace returns the time from SIGTERM to SIGKILL.
+func (b SidecarBounds) Grace() time.Duration { return orSeconds(b.GraceSeconds, defaultGrace) }
+
+// RepeatTerms returns how many requests may be sent once more in a window.
+func (b SidecarBounds) RepeatTerms() (window time.Duration, ratio, slack float64) {
+	return orSeconds(b.RepeatWindowSeconds, defaultRepeatWindow), orNumber(b.RepeatRatio, defaultRepeatRatio), orNumber(b.RepeatSlack, defaultRepeatSlack)
+}
+
+func orSeconds(s *float64, otherwise time.Duration) time.Duration {
+	if s == nil {
+		return otherwise
+	}
+	return time.Duration(*s * float64(time.Second))
+}
+
+func orNumber(n *float64, otherwise float64) float64 {
+	if n == nil {
+		return otherwise
+	}
+	return *n
+}
+
+// fault returns the first bound that is out of range.
+func (b SidecarBounds) fault() (key, text string) {
+	for _, n := range []struct {
+		key   string
+		value *float64
+		least float64
+	}{
+		{"drain-seconds", b.DrainSeconds, minBoundSeconds},
+		{"grace-seconds", b.GraceSeconds, minBoundSeconds},
+		{"repeat-window-seconds", b.RepeatWindowSeconds, minBoundSeconds},
+		{"repeat-ratio", b.RepeatRatio, 0},
+		{"repeat-slack", b.RepeatSlack, 0},
+	} {
+		if n.value != nil && (*n.value < n.least || *n.value > maxBound) {
+			return "bounds." + n.key, fmt.Sprintf("%g is not from %g to %g", *n.value, n.least, float64(maxBound))
+		}
+	}
+	return "", ""
+}
+
+// Ranges of the bounds.
+const (
+	minBoundSeconds = 0.1
+	maxBound        = 1e6
+)
+
 // SidecarStore is the platform's store.
 type SidecarStore struct {
 	Address         string        `yaml:"address"`
@@ -101,10 +172,12 @@
 		return "memory-mb", fmt.Sprintf("%d is below 0", s.MemoryMB)
 	case s.Store.HistorySeconds < 0:
 		return "store.history-seconds", fmt.Sprintf("%g is below 0", s.Store.HistorySeconds)
+	case s.Store.HistorySeconds > maxBound:
+		return "store.history-seconds", fmt.Sprintf("%g is above %g", s.Store.HistorySeconds, float64(maxBound))
 	case !isLevel(s.Log.Level):
 		return "log.level", fmt.Sprintf("%q is not debug, info, warn or error", s.Log.Level)
 	}
-	return "", ""
+	return s.Bounds.fault()
 }
 
 func isLevel(level string) bool {
