--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -12,8 +14,11 @@
 
 const (
 	callTimeout  = 2 * time.Second        // for a call that does not wait
+	watchers     = 3                      // nodes that wait for changes of the policy
 	watchWait    = 20 * time.Second       // how long a watch waits for a change
-	watchSlack   = 2 * time.Second        // beyond which a watch is given up
+	lookWait     = time.Millisecond       // the same for a node that only looks
+	looksPer     = 3                      // looks a second over all nodes
+	listEvery    = 15 * time.Second       // pause between two lists of the servers
 	firstBackoff = 100 * time.Millisecond // before the first repeat of a failed call
 	maxBackoff   = time.Second
 	expiryTick   = 250 * time.Millisecond
@@ -24,54 +29,123 @@
 	heardWithin = 3 * time.Second
 )
 
-// change takes entries of a kind into the state: all of them, or those that
-// changed.
-type change func(entries []gd.Entry, all bool) func(*state)
-
-// follow keeps up with the entries of a kind until ctx ends.
-func (r *Roster) follow(ctx context.Context, kind string, apply change) {
+// followPolicy keeps up with the policy's entry until ctx ends: a few nodes
+// wait for changes, and every node looks for them now and then, for a watch may
+// go silent.
+func (r *Roster) followPolicy(ctx context.Context) {
+	var follower follower
 	backoff := firstBackoff
-	lost := false
 	for ctx.Err() == nil {
-		err := r.followOnce(ctx, kind, apply, func() {
-			if lost {
-				r.cfg.Log.Info(event.StoreRegained, "kind", kind)
-			}
-			lost, backoff = false, firstBackoff
-		})
+		err := r.look(ctx, &follower)
 		switch {
 		case ctx.Err() != nil:
 			return
+		case err == nil:
+			backoff = firstBackoff
+			if !r.isWatcher() {
+				r.sleep(ctx, r.jitter(r.lookEvery()))
+			}
+			continue
 		case gd.Expired.Is(err):
-			r.cfg.Log.Info(event.StoreHistoryLost, "kind", kind)
+			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.Policies, "revision", follower.revision)
+			follower.listed = false
 			continue
-		case !lost:
-			r.cfg.Log.Warn(event.StoreLost, "kind", kind, "error", gd.Message(err))
-			lost = true
+		case !follower.lost:
+			r.cfg.Log.Warn(event.StoreLost, "kind", r.cfg.Policies, "error", gd.Message(err))
+			follower.lost = true
 		}
 		r.sleep(ctx, r.jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// followOnce lists the entries and watches them until a call fails. It calls
-// reached when the catalogue has answered.
-func (r *Roster) followOnce(ctx context.Context, kind string, apply change, reached func()) error {
-	entries, revision, err := r.list(ctx, kind)
+// follower is where the reader of the policy's entry stands.
+type follower struct {
+	listed   bool
+	revision uint64
+	lost     bool // the last call failed
+}
+
+// look reads the policy's entry, or what has changed since the last look.
+func (r *Roster) look(ctx context.Context, f *follower) error {
+	var entries []gd.Entry
+	var err error
+	revision := max(f.revision, r.revision.Load())
+	if f.listed {
+		wait := lookWait
+		if r.isWatcher() {
+			wait = min(r.lookEvery(), watchWait)
+		}
+		entries, revision, err = r.watch(ctx, r.cfg.Policies, revision, wait)
+	} else {
+		entries, revision, err = r.list(ctx, r.cfg.Policies)
+	}
 	if err != nil {
 		return err
 	}
-	reached()
-	r.post(ctx, apply(entries, true))
-	for {
-		entries, next, err := r.watch(ctx, kind, revision)
-		if err != nil {
-			return err
+	if f.lost {
+		r.cfg.Log.Info(event.StoreRegained, "kind", r.cfg.Policies)
+		r.wakeLister() // entries may have lapsed meanwhile
+	}
+	*f = follower{listed: true, revision: revision}
+	for _, e := range entries {
+		if e.Name == r.cfg.Policy && !e.Deleted {
+			r.post(ctx, func(s *state) {
+				if s.adopt(e.Value, e.Revision, "store") {
+					s.push(Message{Version: s.version()})
+				}
+			})
 		}
-		revision = next
-		if len(entries) > 0 {
-			r.post(ctx, apply(entries, false))
+	}
+	return nil
+}
+
+// lookEvery returns the pause between two looks of one node: over all nodes
+// there are a few a second, however many nodes there are.
+func (r *Roster) lookEvery() time.Duration {
+	return time.Duration(r.snapshot.Load().Nodes()) * time.Second / looksPer
+}
+
+// isWatcher reports whether this node is one of the few that wait for changes
+// of the policy: those whose names come first in a random order that all nodes
+// agree on.
+func (r *Roster) isWatcher() bool {
+	own := xxhash.Sum64String(r.cfg.Self.Node)
+	before := 0
+	for _, rec := range r.snapshot.Load().Directory.Records() {
+		if rec.Node != r.cfg.Self.Node && rec.State != server.Gone && xxhash.Sum64String(rec.Node) < own {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+// followServers reads the servers' entries at the start, when the catalogue is
+// back, and now and then. In between the nodes tell each other of changes.
+func (r *Roster) followServers(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		entries, _, err := r.list(ctx, r.cfg.Servers)
+		if err == nil {
+			backoff = firstBackoff
+			r.post(ctx, r.serverEntries(entries))
+			select {
+			case <-r.relist:
+			case <-time.After(r.jitter(listEvery)):
+			case <-ctx.Done():
+			}
+			continue
 		}
+		r.cfg.Log.Warn(event.StoreLost, "kind", r.cfg.Servers, "error", gd.Message(err))
+		r.sleep(ctx, r.jitter(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (r *Roster) wakeLister() {
+	select {
+	case r.relist <- struct{}{}:
+	default:
 	}
 }
 
@@ -81,10 +155,10 @@
 	return r.cfg.Catalogue.List(ctx, kind)
 }
 
-func (r *Roster) watch(ctx context.Context, kind string, revision uint64) ([]gd.Entry, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+func (r *Roster) watch(ctx context.Context, kind string, revision uint64, wait time.Duration) ([]gd.Entry, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	return r.cfg.Catalogue.Watch(ctx, kind, revision, watchWait)
+	return r.cfg.Catalogue.Watch(ctx, kind, revision, wait)
 }
 
 func (r *Roster) jitter(d time.Duration) time.Duration {
@@ -100,29 +174,16 @@
 	}
 }
 
-func (r *Roster) policyChanges(entries []gd.Entry, _ bool) func(*state) {
-	return func(s *state) {
-		for _, e := range entries {
-			if e.Name == r.cfg.Policy && !e.Deleted {
-				s.adopt(e.Value, "store")
-			}
-		}
-	}
-}
-
-func (r *Roster) serverChanges(entries []gd.Entry, all bool) func(*state) {
+// serverEntries takes in the full list of the servers' entries.
+func (r *Roster) serverEntries(entries []gd.Entry) func(*state) {
 	return func(s *state) {
-		if all {
-			s.isListed = true
-			clear(s.listed)
-		}
+		listed := map[string]bool{}
 		var records []server.Record
 		for _, e := range entries {
 			if e.Deleted {
-				s.removed(e.Name)
 				continue
 			}
-			s.listed[e.Name] = true
+			listed[e.Name] = true
 			delete(s.missing, e.Name)
 			rec, err := decodeRecord(e)
 			if err != nil {
@@ -134,35 +195,30 @@
 			}
 			records = append(records, rec)
 		}
-		s.merge(records, "")
-		if all {
-			s.missUnlisted()
+		found := s.merge(records, "")
+		if s.hasOwn {
+			s.pushTo(found, Message{Records: []server.Record{s.own}})
 		}
+		s.missUnlisted(listed)
 		r.wakePublisher()
 	}
 }
 
-// missUnlisted notes the servers that a full list lacks.
-func (s *state) missUnlisted() {
+// missUnlisted notes the servers that a full list lacks. Nodes whose records
+// have just changed may not have written them yet.
+func (s *state) missUnlisted(listed map[string]bool) {
+	now := s.r.cfg.Clock.Monotonic()
 	for _, rec := range s.directory.Records() {
-		if !s.listed[rec.Node] {
-			s.removed(rec.Node)
+		if listed[rec.Node] || now-s.changed[rec.Node] < missingFor {
+			continue
+		}
+		if rec.Node == s.r.cfg.Self.Node {
+			s.revision = 0
+			continue
+		}
+		if _, ok := s.missing[rec.Node]; !ok {
+			s.missing[rec.Node] = now
 		}
-	}
-	if !s.listed[s.r.cfg.Self.Node] {
-		s.revision = 0
-	}
-}
-
-// removed notes that the catalogue has no entry of a node any more.
-func (s *state) removed(node string) {
-	delete(s.listed, node)
-	if node == s.r.cfg.Self.Node {
-		s.revision = 0
-		return
-	}
-	if _, ok := s.missing[node]; !ok {
-		s.missing[node] = s.r.cfg.Clock.Monotonic()
 	}
 }
 
@@ -182,6 +238,7 @@
 			s.buried[node] = rec
 			delete(s.missing, node)
 			delete(s.heard, node)
+			delete(s.changed, node)
 			s.r.cfg.Log.Info(event.ServerForgotten, "node", node, "state", rec.State.String(), "missing", (now - since).String())
 		}
 	}
@@ -259,6 +316,11 @@
 		return r.readBack(ctx, own.Node, err)
 	}
 	r.post(ctx, func(s *state) { s.stored, s.revision = own, e.Revision })
+	if revision == 0 {
+		// Of two nodes that start together, the one that writes later finds
+		// the other in the list.
+		r.wakeLister()
+	}
 	return nil
 }
 
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -22,12 +23,13 @@
 type Message struct {
 	Node      string              `cbor:"1,keyasint"`
 	Version   uint64              `cbor:"2,keyasint,omitempty"` // of the policy in force
-	Policy    []byte              `cbor:"3,keyasint,omitempty"` // as the catalogue holds it
+	Policy    []byte              `cbor:"3,keyasint,omitempty"` // as the catalogue holds it, compressed
 	Directory uint64              `cbor:"4,keyasint,omitempty"` // digest
 	Records   []server.Record     `cbor:"5,keyasint,omitempty"`
 	Register  uint64              `cbor:"6,keyasint,omitempty"` // number of reports
 	Reports   []quarantine.Report `cbor:"7,keyasint,omitempty"`
 	Push      bool                `cbor:"8,keyasint,omitempty"` // no answer is wanted
+	Revision  uint64              `cbor:"9,keyasint,omitempty"` // of the policy's entry
 }
 
 // gossip exchanges with one random node after another.
@@ -127,18 +129,42 @@
 	if m.Node != "" {
 		s.heard[m.Node] = s.r.cfg.Clock.Monotonic()
 	}
-	if m.Policy != nil && m.Version > s.version() {
-		s.adopt(m.Policy, "node "+m.Node)
+	if m.Version > s.version() {
+		if m.Policy != nil {
+			s.takePolicy(m)
+		} else if rec, ok := s.directory.Record(m.Node); ok && m.Push && s.asking < m.Version {
+			s.asking = m.Version
+			question := s.digests()
+			s.r.tasks.Go(func() { s.r.exchange(context.Background(), rec.Address, question) })
+		}
 	}
 	s.merge(m.Records, m.Node)
 	s.register, _ = s.register.WithReports(m.Reports...)
 }
 
+// takePolicy brings the policy of a message into force.
+func (s *state) takePolicy(m Message) {
+	raw, err := unpack(m.Policy)
+	if err != nil {
+		s.r.cfg.Log.Warn(event.PolicyRefused, "source", "node "+m.Node, "error", gd.Message(err), "in-force", s.version())
+		return
+	}
+	s.adopt(raw, m.Revision, "node "+m.Node)
+}
+
+// packed returns the policy in force in compressed form.
+func (s *state) packed() []byte {
+	if s.compressedOf != s.version() {
+		s.compressed, s.compressedOf = pack(s.raw), s.version()
+	}
+	return s.compressed
+}
+
 // lacks returns the digests with what the sender of m lacks.
 func (s *state) lacks(m Message) Message {
 	a := s.digests()
 	if s.raw != nil && m.Version < s.version() {
-		a.Policy = s.raw
+		a.Policy, a.Revision = s.packed(), s.r.revision.Load()
 	}
 	if m.Directory != a.Directory {
 		a.Records = s.directory.Records()
@@ -150,17 +176,20 @@
 }
 
 // push tells all other nodes at once.
-func (s *state) push(m Message) {
+func (s *state) push(m Message) { s.pushTo(s.directory.Records(), m) }
+
+// pushTo tells the nodes of records, but for this one.
+func (s *state) pushTo(records []server.Record, m Message) {
 	m.Node, m.Push = s.r.cfg.Self.Node, true
-	for _, rec := range s.directory.Records() {
-		if rec.Node == s.r.cfg.Self.Node {
-			continue
+	for _, rec := range records {
+		if rec.Node != s.r.cfg.Self.Node {
+			s.r.tasks.Go(func() { s.r.tell(rec.Address, m) })
 		}
-		s.r.tasks.Go(func() { s.r.pushTo(rec.Address, m) })
 	}
 }
 
-func (r *Roster) pushTo(address string, m Message) {
+// tell pushes a message to one node.
+func (r *Roster) tell(address string, m Message) {
 	r.pushing <- struct{}{}
 	defer func() { <-r.pushing }()
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -66,6 +66,8 @@
 	snapshot atomic.Pointer[Snapshot]
 	changes  chan func(*state)
 	publish  chan struct{} // wakes the publisher
+	relist   chan struct{} // wakes the lister of the servers' entries
+	revision atomic.Uint64 // of the policy's entry that is in force
 	started  chan struct{} // closed when the first policy is known
 	tasks    sync.WaitGroup
 	pushing  chan struct{} // bounds the pushes under way
@@ -85,13 +87,15 @@
 	hasOwn    bool
 	stored    server.Record            // own record as the catalogue holds it
 	revision  uint64                   // of the own entry, 0 if there is none
-	listed    map[string]bool          // nodes whose entries the catalogue holds
-	isListed  bool                     // the catalogue has been read
+	changed   map[string]time.Duration // when a node's record was last replaced
 	missing   map[string]time.Duration // since when the catalogue lacks a known node's entry
 	heard     map[string]time.Duration // when a node was last heard directly
 	buried    map[string]server.Record // forgotten ones, so that other nodes do not bring them back
 	left      bool
-	refused   uint64 // version of the last policy that could not be read
+	asking    uint64 // version of the policy that another node was asked for
+
+	compressed   []byte // raw as it is sent to other nodes
+	compressedOf uint64 // its version
 }
 
 // New returns a roster. Run starts it.
@@ -100,6 +104,7 @@
 		cfg:     cfg,
 		changes: make(chan func(*state), eventBuffer),
 		publish: make(chan struct{}, 1),
+		relist:  make(chan struct{}, 1),
 		started: make(chan struct{}),
 		pushing: make(chan struct{}, maxPushes),
 	}
@@ -113,13 +118,13 @@
 // Run keeps the view until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
-	loops.Go(func() { r.follow(ctx, r.cfg.Policies, r.policyChanges) })
-	loops.Go(func() { r.follow(ctx, r.cfg.Servers, r.serverChanges) })
+	loops.Go(func() { r.followPolicy(ctx) })
+	loops.Go(func() { r.followServers(ctx) })
 	loops.Go(func() { r.publishAll(ctx) })
 	loops.Go(func() { r.gossip(ctx) })
 	s := &state{
 		r:       r,
-		listed:  map[string]bool{},
+		changed: map[string]time.Duration{},
 		missing: map[string]time.Duration{},
 		heard:   map[string]time.Duration{},
 		buried:  map[string]server.Record{},
@@ -176,19 +181,21 @@
 	s.r.snapshot.Store(next)
 }
 
-// adopt brings a policy into force if it is newer than the one in force.
-func (s *state) adopt(raw []byte, source string) {
+// adopt brings a policy into force if it is newer than the one in force, and
+// reports whether it did.
+func (s *state) adopt(raw []byte, revision uint64, source string) bool {
 	p, err := s.r.cfg.Decode(raw)
 	if err != nil {
 		s.r.cfg.Log.Error(event.PolicyRefused, "source", source, "error", gd.Message(err), "in-force", s.version())
-		return
+		return false
 	}
 	if s.policy != nil && p.Version <= s.policy.Version {
-		return
+		return false
 	}
 	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source)
 	first := s.policy == nil
 	s.policy, s.raw = p, raw
+	s.r.revision.Store(max(revision, s.r.revision.Load()))
 	s.show()
 	if s.r.cfg.OnPolicy != nil {
 		s.r.cfg.OnPolicy(p)
@@ -196,6 +203,7 @@
 	if first {
 		close(s.r.started)
 	}
+	return true
 }
 
 func (s *state) version() uint64 {
@@ -206,8 +214,8 @@
 }
 
 // merge takes in records of servers that the given node, or "" for the
-// catalogue, told of.
-func (s *state) merge(records []server.Record, node string) {
+// catalogue, told of. It returns those of other nodes that were newer.
+func (s *state) merge(records []server.Record, node string) []server.Record {
 	source := "store"
 	if node != "" {
 		source = "node " + node
@@ -220,9 +228,7 @@
 	s.directory, newer = s.directory.WithRecords(records...)
 	for _, r := range newer {
 		delete(s.buried, r.Node)
-		if s.isListed && !s.listed[r.Node] {
-			s.removed(r.Node)
-		}
+		s.changed[r.Node] = s.r.cfg.Clock.Monotonic()
 		if r.Node == s.r.cfg.Self.Node {
 			s.meetOwn(r)
 			continue
@@ -230,6 +236,7 @@
 		s.r.cfg.Log.Info(event.ServerSeen, "node", r.Node, "service", r.Service, "instance", r.Instance,
 			"state", r.State.String(), "incarnation", r.Incarnation, "sequence", r.Sequence, "source", source)
 	}
+	return newer
 }
 
 // meetOwn deals with a record of this node that it did not write: an earlier
