--- a/internal/call/body/spool.go
+++ b/internal/call/body/spool.go
@@ -72,6 +72,16 @@
 	s.changed.Broadcast()
 }
 
+// Err returns why the body was cut, or nil if it was not.
+func (s *Spool) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended == io.EOF {
+		return nil
+	}
+	return s.ended
+}
+
 // IsComplete reports whether the whole body has arrived and is kept.
 func (s *Spool) IsComplete() bool {
 	s.mu.Lock()
--- a/internal/http1/listener/conn.go
+++ b/internal/http1/listener/conn.go
@@ -31,11 +31,10 @@
 // conn is the connection of one client. The goroutine of serve reads requests,
 // and each request has a goroutine that answers it.
 type conn struct {
-	s      *Server
-	nc     net.Conn
-	br     *bufio.Reader
-	bw     *bufio.Writer
-	limits route.Limits
+	s  *Server
+	nc net.Conn
+	br *bufio.Reader
+	bw *bufio.Writer
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -43,9 +42,10 @@
 	served sync.WaitGroup
 
 	mu      sync.Mutex
-	begun   int  // requests that were read
-	written int  // requests that were answered
-	closing bool // no request is taken any more
+	begun   int          // requests that were read
+	written int          // requests that were answered
+	closing bool         // no request is taken any more
+	limits  route.Limits // written by the reader
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -113,11 +113,14 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, err
 	}
-	c.limits = c.s.limits()
-	if err := c.nc.SetReadDeadline(clock.Deadline(c.limits.HeaderTimeout)); err != nil {
+	limits := c.s.limits()
+	c.mu.Lock()
+	c.limits = limits
+	c.mu.Unlock()
+	if err := c.nc.SetReadDeadline(clock.Deadline(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	req, err := readRequest(c.br, min(c.limits.HeaderBytes, c.br.Size()))
+	req, err := readRequest(c.br, min(limits.HeaderBytes, c.br.Size()))
 	if err != nil {
 		return nil, err
 	}
@@ -277,7 +280,7 @@
 // isLast decides whether the connection ends with this answer; if so, no
 // further request is taken. Requests that were begun are always answered.
 func (c *conn) isLast(r *Request, res *http.Response) bool {
-	wanted := r.Close || res.Close || c.s.isDraining()
+	wanted := r.Close || res.Close || c.s.isDraining() || r.Body != nil && r.Body.Err() != nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing && c.written+1 == c.begun {
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -202,6 +202,8 @@
 	switch {
 	case ctx.Err() != nil, now >= j.final:
 		return false
+	case j.r.Body != nil && j.r.Body.Err() != nil:
+		return false
 	case a.Response == nil && gd.Hopeless.Is(a.Err), gd.Quarantined.Is(a.Err):
 		return false
 	case !a.Reached:
@@ -234,6 +236,11 @@
 // fail gives the final answer where no server gave one.
 func (j *journey) fail(ctx context.Context, last request.Answer) *http.Response {
 	err := last.Err
+	if j.r.Body != nil {
+		if cut := j.r.Body.Err(); gd.Malformed.Is(cut) || gd.TooLarge.Is(cut) {
+			return j.refuse(cut, 0)
+		}
+	}
 	switch {
 	case err == nil:
 		err = gd.NoServer.Errorf("no server of %s is known", j.service)
--- /dev/null
+++ b/internal/proxy/sidecar/fleet_test.go
@@ -0,0 +1,282 @@
+package sidecar_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
+	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
+	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+	"github.com/geraniumdock/geraniumdock/platform"
+)
+
+func changed(name string) []route.Route {
+	list := slices.Clone(routes)
+	list[0].Prefix = "/" + name + "/"
+	return list
+}
+
+// TestPolicyReachesNodesWithoutTheStore changes the policy while the store
+// fails for some nodes, while watches hear nothing and while its history goes.
+func TestPolicyReachesNodesWithoutTheStore(t *testing.T) {
+	for name, faults := range map[string]catalogue.Faults{
+		"watches hear nothing":    {Mute: true},
+		"writes are not answered": {LoseWrite: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, fleet.Spec{Nodes: shop(4), Slots: 2})
+			f.Store.SetFaults(faults)
+			for i := range 3 {
+				_ = f.SetRoutes(changed(fmt.Sprint("v", i))) // the answer may be lost
+				if faults.Mute {
+					f.Store.Compact()
+					f.Store.SetFaults(catalogue.Faults{})
+				}
+				is.NoErr(f.AwaitServers(4))
+			}
+		})
+	}
+}
+
+// TestBadPolicyLeavesTheLastInForce writes what cannot be read.
+func TestBadPolicyLeavesTheLastInForce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(2), Slots: 2})
+	good := f.Version()
+	for _, bad := range []string{`"text"`, `{"version":"r9","resources":[]}`, `{"version":"9"}`, `[]`, `null`} {
+		is.NoErr(f.SetRaw([]byte(bad)))
+	}
+	is.NoErr(f.SetRoutes(changed("next")))
+	is.NoErr(f.AwaitServers(2))
+	is.True(f.Version() > good)
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/next/1", ID: "n"})
+	is.Equal(a.Status, http.StatusOK)
+}
+
+// TestOlderPolicyIsNotTaken writes an older version after a newer one.
+func TestOlderPolicyIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(2), Slots: 2})
+	is.NoErr(f.SetRoutes(changed("second")))
+	is.NoErr(f.AwaitServers(2))
+	old, err := platform.EncodePolicy(1, route.Limits{HeaderBytes: 1024, BodyBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}, []string{"shop"}, nil)
+	is.NoErr(err)
+	is.NoErr(f.SetRaw(old))
+	is.NoErr(f.SetRoutes(changed("third")))
+	is.NoErr(f.AwaitServers(2))
+	version, _ := f.VMs[0].Sidecar.Known()
+	is.Equal(version, f.Version())
+}
+
+// TestDrainingServerGetsNothingMore has a server announce that it leaves while
+// requests come.
+func TestDrainingServerGetsNothingMore(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(3), Slots: 4, Drain: 100 * time.Millisecond})
+	is.NoErr(f.VMs[0].Server.Drain())
+	is.NoErr(f.AwaitServers(2)) // the others learn it
+	before := f.VMs[0].Server.Stats().Arrivals
+	for i := range 30 {
+		a := f.Do(context.Background(), fleet.Request{VM: f.VMs[i%3], Path: "/reads/1", ID: fmt.Sprint("d-", i)})
+		is.Equal(a.Status, http.StatusOK)
+	}
+	is.Equal(f.VMs[0].Server.Stats().Arrivals, before)
+	is.NoErr(f.VMs[0].Server.Leave())
+	// A late announcement does not bring it back.
+	late := f.VMs[0].Server.Announcement()
+	late.Draining = false
+	req, err := platform.NewAnnouncement(f.VMs[0].Sidecar.Address("announcements"), late)
+	is.NoErr(err)
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "late"})
+	is.Equal(a.Status, http.StatusOK)
+	is.Equal(f.VMs[0].Server.Stats().Arrivals, before)
+}
+
+// TestAnotherServerAtTheAddress replaces the server beside a node by one of
+// another name, which refuses what was meant for the first.
+func TestAnotherServerAtTheAddress(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(1), Slots: 2})
+	old := f.VMs[0].Server
+	address := old.Address()
+	old.Crash()
+	l, err := net.Listen("tcp", address)
+	is.NoErr(err)
+	next := &backend.Server{Service: "shop", Instance: "another", Slots: 2, Node: old.Node}
+	next.StartOn(l)
+	f.VMs[0].Server = next
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Method: http.MethodPost, Path: "/orders/1", ID: "o", Body: "x"})
+	is.NoErr(a.Err)
+	is.True(a.Status == http.StatusServiceUnavailable || a.Status == http.StatusMisdirectedRequest)
+	is.Equal(next.RunsOf("o"), 0)
+	is.NoErr(next.Announce())
+	is.NoErr(fleet.Await("the new server is used", func() bool {
+		return f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "r"}).Status == http.StatusOK
+	}))
+}
+
+// TestRestartedNodeUsesItsServerAtOnce kills a node and starts it again; its
+// server has not announced itself since.
+func TestRestartedNodeUsesItsServerAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(1), Slots: 2})
+	is.NoErr(fleet.Await("the entry is written", func() bool { return f.Store.Counts().Writes > 1 }))
+	f.VMs[0].Sidecar.Kill()
+	is.NoErr(f.Restart(f.VMs[0]))
+	is.NoErr(f.AwaitServers(1))
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "r"})
+	is.Equal(a.Status, http.StatusOK)
+}
+
+// TestRestartedNodeLearnsFromPeers restarts a node that the store refuses.
+func TestRestartedNodeLearnsFromPeers(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(3), Slots: 2})
+	f.VMs[0].Sidecar.Kill()
+	f.Store.SetFaults(catalogue.Faults{Outage: catalogue.Busy})
+	is.NoErr(f.Restart(f.VMs[0]))
+	is.NoErr(f.AwaitServers(3))
+}
+
+// TestLapsedEntriesComeBack takes the servers' entries out of the store.
+func TestLapsedEntriesComeBack(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(2), Slots: 2})
+	is.NoErr(fleet.Await("the entries are written", func() bool { return entries(f) == 2 }))
+	f.Store.SetFaults(catalogue.Faults{Outage: catalogue.Reset})
+	time.Sleep(50 * time.Millisecond) // the nodes notice
+	f.Store.Drop("geraniumdock-servers", "node-0")
+	f.Store.Drop("geraniumdock-servers", "node-1")
+	f.Store.SetFaults(catalogue.Faults{})
+	is.NoErr(fleet.Await("the entries are back", func() bool { return entries(f) == 2 }))
+}
+
+func entries(f *fleet.Fleet) int {
+	page, _, _, err := f.Store.List(context.Background(), "test", "geraniumdock-servers", "")
+	if err != nil {
+		return -1
+	}
+	return len(page)
+}
+
+// TestStoppingNodeFinishesWhatItTook closes a node while requests run.
+func TestStoppingNodeFinishesWhatItTook(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(2), Slots: 4, Work: 300 * time.Millisecond, Grace: 4 * time.Second})
+	answers := make(chan fleet.Answer)
+	const n = 8
+	for i := range n {
+		go func() {
+			answers <- f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Method: http.MethodPost, Path: "/orders/1", ID: fmt.Sprint("o-", i), Body: "x"})
+		}()
+	}
+	running := func() int { return len(f.VMs[0].Server.Runs()) + len(f.VMs[1].Server.Runs()) }
+	is.NoErr(fleet.Await("requests run", func() bool { return running() == n }))
+	closed := make(chan struct{})
+	go func() { defer close(closed); _ = f.VMs[0].Sidecar.Close() }()
+	is.NoErr(fleet.Await("the node is not ready", func() bool {
+		res, err := http.Get("http://" + f.VMs[0].Sidecar.Address("ready") + platform.ReadyPath)
+		if err != nil {
+			return true
+		}
+		return res.Body.Close() == nil && res.StatusCode == http.StatusServiceUnavailable
+	}))
+	late := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "late"})
+	is.NoErr(late.Err)
+	is.Equal(late.Status, http.StatusOK) // by the other server
+	is.Equal(f.VMs[0].Server.RunsOf("late"), 0)
+	for range n {
+		a := <-answers
+		is.NoErr(a.Err)
+		is.Equal(a.Status, http.StatusOK)
+	}
+	<-closed
+}
+
+// TestPipelinedRequests sends several requests at once on a connection.
+func TestPipelinedRequests(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(2), Slots: 8, Work: 20 * time.Millisecond})
+	conn, err := net.Dial("tcp", f.VMs[0].Sidecar.Address("clients"))
+	is.NoErr(err)
+	defer conn.Close()
+	const n = 12
+	for i := range n {
+		fmt.Fprintf(conn, "GET /reads/%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: p-%d\r\n\r\n", i, fleet.Host, i)
+	}
+	br := bufio.NewReader(conn)
+	for i := range n {
+		res, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.Equal(string(body), backend.Answer(fmt.Sprint("p-", i), "")) // in the order of the requests
+	}
+	is.True(max(f.VMs[0].Server.Stats().Peak, f.VMs[1].Server.Stats().Peak) > 1) // they ran at once
+}
+
+// TestRequestsThatTwoParsersReadDifferently are refused, and the connection is
+// closed before what follows is taken for a request.
+func TestRequestsThatTwoParsersReadDifferently(t *testing.T) {
+	f := start(t, fleet.Spec{Nodes: shop(1), Slots: 2})
+	smuggled := "GET /reads/1 HTTP/1.1\r\nHost: " + fleet.Host + "\r\nX-Request-Id: smuggled\r\n\r\n"
+	head := "POST /orders/1 HTTP/1.1\r\nHost: " + fleet.Host + "\r\nX-Request-Id: outer\r\n"
+	for name, text := range map[string]string{
+		"two lengths":         head + "Content-Length: 5\r\nContent-Length: 0\r\n\r\nabcde" + smuggled,
+		"length and chunks":   head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+		"folded field":        head + "X-A: b\r\n Content-Length: 5\r\n\r\n" + smuggled,
+		"bad chunk":           head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + smuggled,
+		"line feed alone":     head + "X-A: b\nContent-Length: 0\r\n\r\n" + smuggled,
+		"space before colon":  head + "Content-Length : 0\r\n\r\n" + smuggled,
+		"unknown coding":      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + smuggled,
+		"negative length":     head + "Content-Length: -1\r\n\r\n" + smuggled,
+		"no host":             "GET /reads/1 HTTP/1.1\r\nX-Request-Id: outer\r\n\r\n" + smuggled,
+		"head without an end": "GET /reads/1 HTTP/1.1\r\nHost: " + fleet.Host + "\r\nX-A: " + strings.Repeat("a", 20_000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", f.VMs[0].Sidecar.Address("clients"))
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, text)
+			is.NoErr(err)
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.True(res.StatusCode == http.StatusBadRequest || res.StatusCode == http.StatusRequestHeaderFieldsTooLarge)
+			_, err = io.ReadAll(res.Body)
+			is.NoErr(err)
+			is.True(res.Close)
+			is.Equal(f.VMs[0].Server.RunsOf("smuggled"), 0)
+		})
+	}
+}
+
+// TestDownServerIsLeftAlone has a server crash. Requests for it go to others,
+// and the fleet stops choosing it.
+func TestDownServerIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(3), Slots: 4})
+	f.VMs[0].Server.Crash()
+	for i := range 30 {
+		a := f.Do(context.Background(), fleet.Request{VM: f.VMs[i%3], Method: http.MethodPost, Path: "/orders/1", ID: fmt.Sprint("o-", i), Body: "x"})
+		is.NoErr(a.Err)
+		is.Equal(a.Status, http.StatusOK) // a refused connection shows that it did not run
+	}
+	is.NoErr(f.AwaitServers(2))
+}
--- /dev/null
+++ b/internal/proxy/sidecar/request_test.go
@@ -0,0 +1,243 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
+	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+)
+
+// routes of the tests: reads may run twice, orders may not.
+var routes = []route.Route{
+	{Name: "reads", Host: fleet.Host, Prefix: "/reads/", Idempotent: true, Attempts: 3, Timeout: 5 * time.Second,
+		Objective: time.Second, Priority: 2, Backends: []route.Backend{{Service: "shop", Weight: 1}}},
+	{Name: "orders", Host: fleet.Host, Prefix: "/orders/", Attempts: 3, Timeout: 5 * time.Second,
+		Objective: time.Second, Priority: 1, Backends: []route.Backend{{Service: "shop", Weight: 1}}},
+	{Name: "short", Host: fleet.Host, Prefix: "/short/", Idempotent: true, Attempts: 3, Timeout: 200 * time.Millisecond,
+		Objective: 100 * time.Millisecond, Priority: 2, Backends: []route.Backend{{Service: "shop", Weight: 1}}},
+}
+
+func shop(n int) []fleet.Node {
+	var nodes []fleet.Node
+	for i := range n {
+		nodes = append(nodes, fleet.Node{DataCentre: fmt.Sprintf("dc-%d", i%2), Service: "shop"})
+	}
+	return nodes
+}
+
+func start(t *testing.T, spec fleet.Spec) *fleet.Fleet {
+	t.Helper()
+	if spec.Routes == nil {
+		spec.Routes = routes
+	}
+	if spec.RepeatSlack == 0 {
+		spec.RepeatSlack = 1000
+	}
+	f, err := fleet.Start(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func runs(f *fleet.Fleet, id string) int {
+	n := 0
+	for _, vm := range f.VMs {
+		n += vm.Server.RunsOf(id)
+	}
+	return n
+}
+
+// TestRequestReachesAServerUnchanged sends requests of several shapes and
+// compares what a server saw with what the client sent.
+func TestRequestReachesAServerUnchanged(t *testing.T) {
+	f := start(t, fleet.Spec{Nodes: shop(3), Slots: 4})
+	for name, r := range map[string]fleet.Request{
+		"read":           {Path: "/reads/a/b?x=1&y=%2F"},
+		"escaped path":   {Path: "/reads/%41%2f//b/../c"},
+		"body":           {Method: http.MethodPost, Path: "/orders/1", Body: "one brass die"},
+		"large body":     {Method: http.MethodPost, Path: "/orders/2", Body: strings.Repeat("x", 300_000)},
+		"forged caller":  {Path: "/reads/1", Header: http.Header{"X-Caller-Service": {"somebody"}}},
+		"unknown method": {Method: "PURGE", Path: "/reads/2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r.ID, r.VM = "id-"+strings.ReplaceAll(name, " ", "-"), f.VMs[1]
+			a := f.Do(context.Background(), r)
+			is.NoErr(a.Err)
+			is.Equal(a.Status, http.StatusOK)
+			is.Equal(a.Body, backend.Answer(r.ID, r.Body))
+			is.Equal(runs(f, r.ID), 1)
+			for _, vm := range f.VMs {
+				for _, run := range vm.Server.Runs() {
+					if run.ID != r.ID {
+						continue
+					}
+					is.Equal(run.Target, r.Path)
+					is.Equal(run.Caller, "shop") // the service beside the node that took the request
+					is.Equal(run.Body, r.Body)
+					is.True(run.Method == r.Method || r.Method == "" && run.Method == http.MethodGet)
+					is.True(run.Deadline > 0 && run.Deadline <= 5*time.Second) // the route's timeout
+				}
+			}
+		})
+	}
+}
+
+// TestAnswersOfTheNodeItself covers what the node answers without a server.
+func TestAnswersOfTheNodeItself(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(1), Slots: 1, NoPolicy: true})
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "early"})
+	is.Equal(a.Status, http.StatusServiceUnavailable) // no policy is known
+	is.True(a.Header.Get("Retry-After") != "")
+	is.NoErr(f.SetRoutes(routes))
+	is.NoErr(f.AwaitServers(1))
+	a = f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/nowhere/1", ID: "nowhere"})
+	is.Equal(a.Status, http.StatusNotFound)
+	a = f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "there"})
+	is.Equal(a.Status, http.StatusOK)
+}
+
+// TestFailuresOfAServer has one server of three fail in each way, sends many
+// reads and orders, and checks what the callers get and what ran.
+func TestFailuresOfAServer(t *testing.T) {
+	for name, faults := range map[string]backend.Faults{
+		"answer lost":  {LoseAnswer: true},
+		"answer cut":   {CutAnswer: true},
+		"extra bytes":  {ExtraBytes: true},
+		"no seal":      {NoSeal: true},
+		"encoded":      {Encoded: true},
+		"no length":    {Unframed: true},
+		"refuses work": {Shed: true},
+		"fails":        {Fail: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, fleet.Spec{Nodes: shop(3), Slots: 4})
+			f.VMs[0].Server.SetFaults(faults)
+			for i := range 30 {
+				read, order := fmt.Sprint("read-", i), fmt.Sprint("order-", i)
+				a := f.Do(context.Background(), fleet.Request{VM: f.VMs[i%3], Path: "/reads/1", ID: read})
+				is.NoErr(a.Err)
+				is.Equal(a.Status, http.StatusOK) // another server answers a read
+				is.Equal(a.Body, backend.Answer(read, ""))
+
+				a = f.Do(context.Background(), fleet.Request{VM: f.VMs[i%3], Method: http.MethodPost, Path: "/orders/1", ID: order, Body: "die"})
+				is.NoErr(a.Err)
+				ran := runs(f, order)
+				is.True(ran <= 1) // an order never runs twice
+				switch a.Status {
+				case http.StatusOK:
+					is.Equal(a.Body, backend.Answer(order, "die"))
+					is.Equal(ran, 1)
+				case http.StatusBadGateway, http.StatusInternalServerError:
+					is.Equal(ran, 1)
+				default:
+					t.Errorf("order got %d, ran %d", a.Status, ran)
+				}
+				if faults.Shed {
+					is.Equal(a.Status, http.StatusOK) // what did not run goes elsewhere
+				}
+			}
+		})
+	}
+}
+
+// TestClientThatLeavesEndsTheWork has clients leave while their requests run or
+// wait for a slot.
+func TestClientThatLeavesEndsTheWork(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(2), Slots: 1, Work: time.Hour})
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range 4 {
+		go f.Do(ctx, fleet.Request{VM: f.VMs[i%2], Path: "/reads/1", ID: fmt.Sprint("left-", i)})
+	}
+	busy := func() int { return len(f.VMs[0].Server.Runs()) + len(f.VMs[1].Server.Runs()) }
+	is.NoErr(fleet.Await("two requests run", func() bool { return busy() == 2 }))
+	cancel()
+	is.NoErr(fleet.Await("their work ended", func() bool {
+		return f.VMs[0].Server.Stats().Left+f.VMs[1].Server.Stats().Left == busy()
+	}))
+}
+
+// TestTimeoutOfTheRoute sends a request that outlasts its route's timeout, and
+// others that find the only slot taken for longer than they have.
+func TestTimeoutOfTheRoute(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(1), Slots: 1, Work: time.Hour})
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/short/1", ID: "long"})
+	is.NoErr(a.Err)
+	is.Equal(a.Status, http.StatusGatewayTimeout)
+	is.Equal(runs(f, "long"), 1)
+	is.NoErr(fleet.Await("its work ended", func() bool { return f.VMs[0].Server.Stats().Left == 1 }))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Do(ctx, fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "holder"})
+	is.NoErr(fleet.Await("the slot is taken", func() bool { return runs(f, "holder") == 1 }))
+	a = f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/short/1", ID: "waiter"})
+	is.NoErr(a.Err)
+	is.Equal(a.Status, http.StatusServiceUnavailable) // it has not run
+	is.True(a.Header.Get("Retry-After") != "")
+	is.Equal(runs(f, "waiter"), 0)
+}
+
+// TestDeadlineOfTheClient checks that the server learns what is left of it.
+func TestDeadlineOfTheClient(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(1), Slots: 1})
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "d", Deadline: 800 * time.Millisecond})
+	is.Equal(a.Status, http.StatusOK)
+	left := f.VMs[0].Server.Runs()[0].Deadline
+	is.True(left > 0 && left <= 800*time.Millisecond)
+}
+
+// TestSlotsAreNotExceeded sends far more requests than there are slots.
+func TestSlotsAreNotExceeded(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(2), Slots: 3, Work: 10 * time.Millisecond})
+	done := make(chan fleet.Answer)
+	const n = 60
+	for i := range n {
+		go func() {
+			done <- f.Do(context.Background(), fleet.Request{VM: f.VMs[i%2], Path: "/reads/1", ID: fmt.Sprint("s-", i)})
+		}()
+	}
+	for range n {
+		a := <-done
+		is.NoErr(a.Err)
+		is.True(a.Status == http.StatusOK || a.Status == http.StatusServiceUnavailable)
+	}
+	for _, vm := range f.VMs {
+		is.True(vm.Server.Stats().Peak <= 3)
+	}
+}
+
+// TestRetryBudget has all servers fail and counts what reaches them.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(3), Slots: 8, RepeatRatio: 0.2, RepeatSlack: 12})
+	for _, vm := range f.VMs {
+		vm.Server.SetFaults(backend.Faults{LoseAnswer: true})
+	}
+	const n = 60
+	for i := range n {
+		f.Do(context.Background(), fleet.Request{VM: f.VMs[i%3], Path: "/reads/1", ID: fmt.Sprint("b-", i)})
+	}
+	arrivals := 0
+	for _, vm := range f.VMs {
+		arrivals += vm.Server.Stats().Arrivals
+	}
+	is.True(arrivals-n <= 12+n/5) // the platform's bound: slack and ratio
+	is.True(arrivals > n)         // some were sent once more
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -81,10 +81,14 @@
 func New(cfg Config) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, client: peer.NewClient(), listeners: map[string]net.Listener{}, done: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	if err := s.listen(); err != nil {
+		s.closeListeners()
+		return nil, err
+	}
 	st := cfg.Settings
 	s.roster = roster.New(roster.Config{
 		Self: server.Record{
-			Node: st.Node, Address: st.Listen.Peers, DataCentre: st.DataCentre, Region: st.Region,
+			Node: st.Node, Address: s.Address("peers"), DataCentre: st.DataCentre, Region: st.Region,
 			Incarnation: uint64(cfg.Clock.Now()),
 		},
 		Catalogue:  cfg.Catalogue,
@@ -125,10 +129,6 @@
 	s.clients = listener.New(s.ingress, refusals{cfg.Log}, s.limits, spoolBytes)
 	s.peers = peer.NewServer(s.station, s.roster, cfg.Log)
 	s.gauges()
-	if err := s.listen(); err != nil {
-		s.closeListeners()
-		return nil, err
-	}
 	return s, nil
 }
 
@@ -198,6 +198,19 @@
 // announcements or metrics.
 func (s *Sidecar) Address(name string) string { return s.listeners[name].Addr().String() }
 
+// Known returns the version of the policy in force, 0 for none, and the number
+// of servers that may be given requests.
+func (s *Sidecar) Known() (version uint64, servers int) {
+	snapshot := s.roster.Snapshot()
+	if snapshot.Policy != nil {
+		version = snapshot.Policy.Version
+	}
+	for _, list := range snapshot.Serving {
+		servers += len(list)
+	}
+	return version, servers
+}
+
 // Start makes the node serve. It returns at once.
 func (s *Sidecar) Start() {
 	root := suture.New("sidecar", suture.Spec{EventHook: func(e suture.Event) {
@@ -269,6 +282,12 @@
 	s.roster.Leave(ctx)
 	s.clients.Drain()
 	s.awaitEnd(ctx, began)
+	s.stop(ctx)
+	s.cfg.Log.Info(event.Stopped, "took", (s.cfg.Clock.Monotonic() - began).String())
+}
+
+// stop ends all that runs. What is not finished when ctx ends is cut.
+func (s *Sidecar) stop(ctx context.Context) {
 	if err := s.clients.Close(ctx); err != nil {
 		s.cfg.Log.Warn(event.Stopping, "error", err)
 	}
@@ -282,7 +301,16 @@
 	<-s.done
 	s.client.Close()
 	s.station.Close()
-	s.cfg.Log.Info(event.Stopped, "took", (s.cfg.Clock.Monotonic() - began).String())
+}
+
+// Kill stops the node without a word to anyone, as a crash would.
+func (s *Sidecar) Kill() {
+	s.closed.Do(func() {
+		s.closing.Store(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		s.stop(ctx)
+	})
 }
 
 // awaitEnd waits until the platform sends no more clients and what was taken
--- /dev/null
+++ b/internal/standin/catalogue/catalogue.go
@@ -0,0 +1,373 @@
+// Package catalogue is a stand-in for the platform's metadata store, in memory,
+// with the failures that the platform describes. Tests and trials use it where
+// the real store is not at hand.
+package catalogue
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+// Outage is how the catalogue fails.
+type Outage int
+
+// The ways in which calls fail.
+const (
+	Up     Outage = iota
+	Silent        // calls are not answered
+	Busy          // calls are refused, nothing is done
+	Many          // calls are refused as too many
+	Reset         // connections are reset
+)
+
+// Faults are the failures that are shown. The zero value shows none.
+type Faults struct {
+	Outage    Outage
+	Callers   []string      // the outage is shown to these callers only; empty for all
+	Delay     time.Duration // every answer comes this much later
+	LoseWrite float64       // share of the writes that are done and not answered
+	LateWrite time.Duration // those writes are done this much later
+	Mute      bool          // watches hear nothing
+}
+
+// Entry is a value with its two parts.
+type Entry struct {
+	gd.Entry
+	Status     []byte
+	Finalizers []string
+	Deleting   bool
+}
+
+type change struct {
+	kind  string
+	entry Entry
+}
+
+// Catalogue keeps entries by kind and name. Use New.
+type Catalogue struct {
+	mu       sync.Mutex
+	kinds    map[string]map[string]Entry
+	history  []change
+	oldest   uint64 // changes at and before this revision are forgotten
+	revision uint64
+	faults   Faults
+	changed  chan struct{} // closed and replaced at each change
+	reads    rate
+	writes   rate
+	rnd      *rand.Rand
+	counts   Counts
+	late     sync.WaitGroup
+}
+
+// Counts are the calls received, refused ones included.
+type Counts struct {
+	Reads, Writes, Watches, Refused int
+}
+
+// New returns an empty catalogue that takes so many calls a second, where 0
+// means any number.
+func New(readsPerSecond, writesPerSecond float64, seed uint64) *Catalogue {
+	return &Catalogue{
+		kinds: map[string]map[string]Entry{}, changed: make(chan struct{}), revision: 1,
+		reads: rate{perSecond: readsPerSecond}, writes: rate{perSecond: writesPerSecond},
+		rnd: rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// SetFaults replaces the failures that are shown from now on.
+func (c *Catalogue) SetFaults(f Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+	c.wake()
+}
+
+// Compact forgets all changes so far and cuts the watches.
+func (c *Catalogue) Compact() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history, c.oldest = nil, c.revision
+	c.wake()
+}
+
+// Counts returns the calls received so far.
+func (c *Catalogue) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// Close waits for writes that are done late.
+func (c *Catalogue) Close() { c.late.Wait() }
+
+// Errors of calls that fail without an answer of the catalogue.
+var (
+	ErrSilent = gd.Unavailable.Errorf("no answer")
+	ErrReset  = gd.Unavailable.Errorf("connection reset")
+	ErrBusy   = gd.Unavailable.Errorf("busy")
+	ErrMany   = gd.Unavailable.Errorf("too many calls")
+)
+
+// enter counts a call and shows the outage. The caller holds c.mu, which is
+// released while an answer is delayed.
+func (c *Catalogue) enter(ctx context.Context, caller string, r *rate, now time.Time) error {
+	if c.faults.Delay > 0 {
+		delay := c.faults.Delay
+		c.mu.Unlock()
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+		}
+		c.mu.Lock()
+	}
+	if err := c.outage(caller); err != nil {
+		c.counts.Refused++
+		return err
+	}
+	if !r.take(now) {
+		c.counts.Refused++
+		return ErrMany
+	}
+	return nil
+}
+
+func (c *Catalogue) outage(caller string) error {
+	if len(c.faults.Callers) > 0 && !slices.Contains(c.faults.Callers, caller) {
+		return nil
+	}
+	switch c.faults.Outage {
+	case Silent:
+		return ErrSilent
+	case Busy:
+		return ErrBusy
+	case Many:
+		return ErrMany
+	case Reset:
+		return ErrReset
+	}
+	return nil
+}
+
+// Get returns one entry.
+func (c *Catalogue) Get(ctx context.Context, caller, kind, name string) (Entry, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Reads++
+	if err := c.enter(ctx, caller, &c.reads, clock.Deadline(0)); err != nil {
+		return Entry{}, err
+	}
+	e, ok := c.kinds[kind][name]
+	if !ok {
+		return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
+	}
+	return e, nil
+}
+
+// pageSize is how many entries one answer of List holds.
+const pageSize = 500
+
+// List returns the entries of a kind whose names come after the given one, a
+// page at most, and whether there are more.
+func (c *Catalogue) List(ctx context.Context, caller, kind, after string) (page []Entry, more bool, revision uint64, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Reads++
+	if err := c.enter(ctx, caller, &c.reads, clock.Deadline(0)); err != nil {
+		return nil, false, 0, err
+	}
+	for name, e := range c.kinds[kind] {
+		if name > after {
+			page = append(page, e)
+		}
+	}
+	slices.SortFunc(page, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	if len(page) > pageSize {
+		return page[:pageSize], true, c.revision, nil
+	}
+	return page, false, c.revision, nil
+}
+
+// Watch returns the changes of a kind after revision as soon as there is one,
+// or none when wait has passed.
+func (c *Catalogue) Watch(ctx context.Context, caller, kind string, revision uint64, wait time.Duration) ([]Entry, uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Watches++
+	if err := c.enter(ctx, caller, &c.reads, clock.Deadline(0)); err != nil {
+		return nil, 0, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		if err := c.outage(caller); err != nil {
+			return nil, 0, err
+		}
+		if !c.faults.Mute {
+			if revision < c.oldest {
+				return nil, 0, gd.Expired.Errorf("changes after %d are gone", revision)
+			}
+			if list := c.since(kind, revision); len(list) > 0 {
+				return list, c.revision, nil
+			}
+		}
+		changed := c.changed
+		c.mu.Unlock()
+		var done bool
+		select {
+		case <-changed:
+		case <-end.C:
+			done = true
+		case <-ctx.Done():
+			done = true
+		}
+		c.mu.Lock()
+		if done {
+			return nil, max(revision, c.oldest), nil
+		}
+	}
+}
+
+func (c *Catalogue) since(kind string, revision uint64) []Entry {
+	var list []Entry
+	for _, ch := range c.history {
+		if ch.kind == kind && ch.entry.Revision > revision {
+			list = append(list, ch.entry)
+		}
+	}
+	return list
+}
+
+// Put writes an entry's value, or creates the entry where revision is 0. With
+// anyRevision the entry's revision is not compared.
+func (c *Catalogue) Put(ctx context.Context, caller, kind, name string, value []byte, finalizers []string, revision uint64, anyRevision bool) (Entry, error) {
+	return c.write(ctx, caller, func() (Entry, error) {
+		old, exists := c.kinds[kind][name]
+		switch {
+		case !anyRevision && revision == 0 && exists, !anyRevision && revision != 0 && exists && old.Revision != revision:
+			return old, gd.Conflict.Errorf("entry %s/%s is at revision %d", kind, name, old.Revision)
+		case revision != 0 && !exists:
+			return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
+		case exists && bytes.Equal(old.Value, value) && slices.Equal(old.Finalizers, finalizers):
+			return old, nil
+		}
+		e := old
+		e.Name, e.Value, e.Finalizers = name, bytes.Clone(value), slices.Clone(finalizers)
+		return c.store(kind, e), nil
+	})
+}
+
+// PutStatus writes an entry's status.
+func (c *Catalogue) PutStatus(ctx context.Context, caller, kind, name string, status []byte, revision uint64) (Entry, error) {
+	return c.write(ctx, caller, func() (Entry, error) {
+		e, ok := c.kinds[kind][name]
+		switch {
+		case !ok:
+			return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
+		case revision != 0 && e.Revision != revision:
+			return e, gd.Conflict.Errorf("entry %s/%s is at revision %d", kind, name, e.Revision)
+		case bytes.Equal(e.Status, status):
+			return e, nil
+		}
+		e.Status = bytes.Clone(status)
+		return c.store(kind, e), nil
+	})
+}
+
+// Delete removes an entry, or marks it while it has finalizers.
+func (c *Catalogue) Delete(ctx context.Context, caller, kind, name string, revision uint64) (Entry, error) {
+	return c.write(ctx, caller, func() (Entry, error) {
+		e, ok := c.kinds[kind][name]
+		switch {
+		case !ok:
+			return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
+		case revision != 0 && e.Revision != revision:
+			return e, gd.Conflict.Errorf("entry %s/%s is at revision %d", kind, name, e.Revision)
+		}
+		e.Deleting = true
+		return c.store(kind, e), nil
+	})
+}
+
+// write does a write and shows the failures of writes.
+func (c *Catalogue) write(ctx context.Context, caller string, do func() (Entry, error)) (Entry, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Writes++
+	if err := c.enter(ctx, caller, &c.writes, clock.Deadline(0)); err != nil {
+		return Entry{}, err
+	}
+	if c.faults.LoseWrite == 0 || c.rnd.Float64() >= c.faults.LoseWrite {
+		return do()
+	}
+	if c.faults.LateWrite == 0 {
+		_, _ = do() // the caller hears nothing either way
+		return Entry{}, ErrSilent
+	}
+	late := c.faults.LateWrite
+	c.late.Go(func() {
+		time.Sleep(late)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, _ = do() // the caller heard nothing
+	})
+	return Entry{}, ErrSilent
+}
+
+// store puts e at the next revision. The caller holds c.mu.
+func (c *Catalogue) store(kind string, e Entry) Entry {
+	c.revision++
+	e.Revision = c.revision
+	if c.kinds[kind] == nil {
+		c.kinds[kind] = map[string]Entry{}
+	}
+	c.kinds[kind][e.Name] = e
+	if e.Deleting && len(e.Finalizers) == 0 {
+		delete(c.kinds[kind], e.Name)
+		e.Deleted = true
+	}
+	c.history = append(c.history, change{kind, e})
+	c.wake()
+	return e
+}
+
+// Drop removes an entry without a trace in the history, as when the platform
+// takes entries away.
+func (c *Catalogue) Drop(kind, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.kinds[kind], name)
+}
+
+// wake releases every waiting watch. The caller holds c.mu.
+func (c *Catalogue) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// rate is a token bucket of one second.
+type rate struct {
+	perSecond float64
+	tokens    float64
+	last      time.Time
+}
+
+func (r *rate) take(now time.Time) bool {
+	if r.perSecond == 0 {
+		return true
+	}
+	r.tokens = min(r.tokens+r.perSecond*now.Sub(r.last).Seconds(), r.perSecond)
+	r.last = now
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
