A node that stops takes no request that may outlast it; lapsed entries are put back at once

A test also showed that an entry that lapsed within the first seconds of a process was not missed, and that the store's return was noticed only when a whole watch had passed.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -73,7 +73,7 @@
 	revision := max(f.revision, r.revision.Load())
 	if f.listed {
 		wait := lookWait
-		if r.isWatcher() {
+		if r.isWatcher() && !f.lost {
 			wait = min(r.lookEvery(), watchWait)
 		}
 		entries, revision, err = r.watch(ctx, r.cfg.Policies, revision, wait)
@@ -162,7 +162,14 @@
 }
 
 func (r *Roster) jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(r.cfg.Random.Int64N(int64(d)))
+	return d/2 + time.Duration(r.below(int64(d)))
+}
+
+// below returns a random number from 0 to n-1.
+func (r *Roster) below(n int64) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Int64N(n)
 }
 
 func (r *Roster) sleep(ctx context.Context, d time.Duration) {
@@ -209,7 +216,7 @@
 func (s *state) missUnlisted(listed map[string]bool) {
 	now := s.r.cfg.Clock.Monotonic()
 	for _, rec := range s.directory.Records() {
-		if listed[rec.Node] || now-s.changed[rec.Node] < missingFor {
+		if at, ok := s.changed[rec.Node]; listed[rec.Node] || ok && now-at < missingFor {
 			continue
 		}
 		if rec.Node == s.r.cfg.Self.Node {
@@ -315,7 +322,10 @@
 	if err != nil {
 		return r.readBack(ctx, own.Node, err)
 	}
-	r.post(ctx, func(s *state) { s.stored, s.revision = own, e.Revision })
+	r.post(ctx, func(s *state) {
+		s.stored, s.revision = own, e.Revision
+		s.changed[own.Node] = r.cfg.Clock.Monotonic()
+	})
 	if revision == 0 {
 		// Of two nodes that start together, the one that writes later finds
 		// the other in the list.
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -64,7 +64,7 @@
 	if len(peers) == 0 {
 		return ""
 	}
-	return peers[s.r.cfg.Random.IntN(len(peers))]
+	return peers[s.r.below(int64(len(peers)))]
 }
 
 func (s *state) digests() Message {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -44,8 +44,7 @@
 	Exchanger  Exchanger
 	Clock      gd.Clock
 	Log        hclog.Logger
-	Random     *rand.Rand
-	OnPolicy   func(*route.Policy) // told of each policy that comes into force
+	Seed       uint64
 	OnAdoption func(server.Record) // told of an own record that an earlier process left
 }
 
@@ -72,8 +71,8 @@
 	tasks    sync.WaitGroup
 	pushing  chan struct{} // bounds the pushes under way
 
-	runOnce sync.Once
-	cancel  context.CancelFunc
+	mu     sync.Mutex
+	random *rand.Rand // guarded by mu
 }
 
 // state is owned by the control goroutine.
@@ -107,6 +106,7 @@
 		relist:  make(chan struct{}, 1),
 		started: make(chan struct{}),
 		pushing: make(chan struct{}, maxPushes),
+		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 	r.snapshot.Store(&Snapshot{})
 	return r
@@ -197,9 +197,6 @@
 	s.policy, s.raw = p, raw
 	s.r.revision.Store(max(revision, s.r.revision.Load()))
 	s.show()
-	if s.r.cfg.OnPolicy != nil {
-		s.r.cfg.OnPolicy(p)
-	}
 	if first {
 		close(s.r.started)
 	}
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -75,6 +76,8 @@
 type Ingress struct {
 	cfg Config
 
+	stopAt    atomic.Int64 // instant at which the node ends, 0 while it is not known
+
 	mu        sync.Mutex
 	estimates *placement.Estimates
 	budget    *budget.Budget
@@ -92,6 +95,10 @@
 	}
 }
 
+// StopAt has requests refused that may not be answered before the given
+// instant, at which the node ends.
+func (g *Ingress) StopAt(at time.Duration) { g.stopAt.Store(int64(at)) }
+
 // Handle answers a request of a client.
 func (g *Ingress) Handle(ctx context.Context, r *listener.Request) *http.Response {
 	j := &journey{g: g, r: r, id: platform.RequestID(r.Header), began: g.cfg.Clock.Monotonic(), snapshot: g.cfg.Snapshot()}
@@ -145,6 +152,9 @@
 		left = min(left, rt.Timeout)
 	}
 	j.final = j.began + left
+	if stop := time.Duration(j.g.stopAt.Load()); stop > 0 && j.final > stop {
+		return gd.Draining.Errorf("node %s ends in %s", j.g.cfg.Node, stop-j.began)
+	}
 	j.objective = j.began + rt.Objective
 	if rt.Objective == 0 {
 		j.objective = j.began + time.Duration(defaultObjective*float64(left))
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -40,7 +40,7 @@
 	// here: it asks for readiness once a second and believes the second miss.
 	noticeTime = 2500 * time.Millisecond
 	// stopMargin is how long before the platform kills the process it ends.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 400 * time.Millisecond
 	stopTick   = 50 * time.Millisecond
 	// repeatShare is the part of the platform's retry ratio that is used. Calls
 	// that a repeated request makes count as repeats at the services they go
@@ -99,7 +99,7 @@
 		Exchanger:  s.client,
 		Clock:      cfg.Clock,
 		Log:        cfg.Log,
-		Random:     s.random(1),
+		Seed:       cfg.Seed,
 		OnAdoption: func(r server.Record) { s.station.Adopt(r) },
 	})
 	s.station = station.New(station.Config{
@@ -118,7 +118,7 @@
 		Terms:  repeatTerms(st.Bounds),
 		Clock:  cfg.Clock,
 		Log:    cfg.Log,
-		Random: s.random(2),
+		Random: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		Observe: func(o ingress.Outcome) {
 			cfg.Meter.Answered(o.Status, o.Took, o.Tries, o.Reached)
 			if o.Failed {
@@ -137,10 +137,6 @@
 	return budget.Terms{Window: window, Ratio: repeatShare * ratio, Slack: repeatShare * slack}
 }
 
-func (s *Sidecar) random(stream uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(s.cfg.Seed, stream))
-}
-
 // startLimits are in force until a policy is known.
 var startLimits = route.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
@@ -277,6 +273,7 @@
 	s.cfg.Log.Info(event.Stopping, "active", s.clients.Active(), "at-server", s.station.Active(), "grace", grace.String())
 	s.closing.Store(true)
 	s.station.Drain()
+	s.ingress.StopAt(began + grace)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	s.roster.Leave(ctx)
@@ -318,7 +315,11 @@
 func (s *Sidecar) awaitEnd(ctx context.Context, began time.Duration) {
 	t := time.NewTicker(stopTick)
 	defer t.Stop()
-	for s.cfg.Clock.Monotonic()-began < noticeTime || s.clients.Active() > 0 || s.station.Active() > 0 {
+	for {
+		passed := s.cfg.Clock.Monotonic() - began
+		if passed >= noticeTime && s.clients.Active() == 0 && s.station.Active() == 0 {
+			return
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
