--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -20,6 +20,7 @@
 	firstEstimate = 50 * time.Millisecond // slot time of a class before any was measured
 	smoothing     = 0.1                   // weight of the newest slot time in a mean
 	spread        = 1.4                   // share of its mean slot time that a request is given to meet its objective
+	patience      = 0.15                  // share of the time to its objective that a request may be expected to wait
 	minComeBack   = 20 * time.Millisecond // shortest time to come back that is named
 	maxComeBack   = 2 * time.Second       // longest one
 	maxClasses    = 1024                  // classes whose slot time is kept
@@ -100,7 +101,7 @@
 	case now+wait+cost > it.Deadline:
 		refusal.Kind = gd.Hopeless
 		return refusal, false
-	case !q.isOnTime(now+wait, it) && !q.hasRoomLate(now, it):
+	case !q.isPatient(now, wait, it) && !q.hasRoomLate(now, it):
 		return refusal, false
 	}
 	q.insert(now, it)
@@ -113,6 +114,13 @@
 	return start+time.Duration(spread*float64(q.cost(it.Class))) <= it.Objective
 }
 
+// isPatient reports whether the item may wait so long. Slot times vary much
+// more than waits, so the longer requests wait, the fewer of them meet their
+// objective, and no slot is used better for it.
+func (q *Queue) isPatient(now, wait time.Duration, it Item) bool {
+	return q.isOnTime(now+wait, it) && wait <= time.Duration(patience*float64(it.Objective-now))
+}
+
 // hasRoomLate reports whether an item that will miss its objective may wait:
 // only while few such items do and the whole queue drains well before its
 // deadline, for it gets a slot when no other item wants one.
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -82,7 +82,8 @@
 	estimates *placement.Estimates
 	budget    *budget.Budget
 	random    *rand.Rand
-	directory uint64 // generation for which the estimates were cleaned
+	directory uint64                   // generation for which the estimates were cleaned
+	longest   map[string]time.Duration // deadline that clients of a route named
 }
 
 // New returns an ingress.
@@ -92,6 +93,7 @@
 		estimates: placement.New(cfg.Node, cfg.DataCentre, cfg.Random),
 		budget:    budget.New(cfg.Terms),
 		random:    cfg.Random,
+		longest:   map[string]time.Duration{},
 	}
 }
 
@@ -148,6 +150,10 @@
 	} else {
 		left = defaultTimeout
 	}
+	spent := time.Duration(0)
+	if isNamed {
+		spent = j.g.spent(rt.Name, left)
+	}
 	if rt.Timeout > 0 {
 		left = min(left, rt.Timeout)
 	}
@@ -155,7 +161,7 @@
 	if stop := time.Duration(j.g.stopAt.Load()); stop > 0 && j.final > stop {
 		return gd.Draining.Errorf("node %s ends in %s", j.g.cfg.Node, stop-j.began)
 	}
-	j.objective = j.began + rt.Objective
+	j.objective = j.began + rt.Objective - spent
 	if rt.Objective == 0 {
 		j.objective = j.began + time.Duration(defaultObjective*float64(left))
 	}
@@ -166,6 +172,23 @@
 	return nil
 }
 
+// maxRoutes bounds the routes whose longest deadline is kept.
+const maxRoutes = 4096
+
+// spent estimates how long a client has waited already. Clients that come back
+// after a refusal name what is left of their deadline, and their objective
+// counts from their first attempt; the longest deadline that clients of the
+// route name is taken for the whole of it.
+func (g *Ingress) spent(name string, left time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	longest, ok := g.longest[name]
+	if left > longest && (ok || len(g.longest) < maxRoutes) {
+		g.longest[name] = left
+	}
+	return max(longest-left, 0)
+}
+
 // fingerprint identifies requests that are repeats of each other.
 func (j *journey) fingerprint() quarantine.Fingerprint {
 	return quarantine.Of(j.g.cfg.Service, j.r.Method, j.r.Host+j.r.RequestURI, nil)
