--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -17,13 +17,14 @@
 )
 
 const (
-	firstEstimate = 50 * time.Millisecond // slot time of a class before any was measured
-	smoothing     = 0.1                   // weight of the newest slot time in a mean
-	spread        = 1.4                   // share of its mean slot time that a request is given to meet its objective
-	patience      = 0.15                  // share of the time to its objective that a request may be expected to wait
-	minComeBack   = 20 * time.Millisecond // shortest time to come back that is named
-	maxComeBack   = 2 * time.Second       // longest one
-	maxClasses    = 1024                  // classes whose slot time is kept
+	firstEstimate = 50 * time.Millisecond  // slot time of a class before any was measured
+	smoothing     = 0.1                    // weight of the newest slot time in a mean
+	spread        = 1.4                    // share of its mean slot time that a request is given to meet its objective
+	patience      = 0.15                   // share of the time to its objective that a request may be expected to wait
+	pressedFor    = 500 * time.Millisecond // how long a refusal for want of room tells of the next requests
+	minComeBack   = 20 * time.Millisecond  // shortest time to come back that is named
+	maxComeBack   = 2 * time.Second        // longest one
+	maxClasses    = 1024                   // classes whose slot time is kept
 )
 
 // Item is a request that wants a slot. Instants are on the monotonic clock.
@@ -43,6 +44,7 @@
 	running map[uint64]run
 	classes map[string]time.Duration // mean slot time
 	mean    time.Duration            // over all classes
+	pressed time.Duration            // until when items that come in time are likely to be refused
 }
 
 type run struct {
@@ -101,7 +103,11 @@
 	case now+wait+cost > it.Deadline:
 		refusal.Kind = gd.Hopeless
 		return refusal, false
-	case !q.isPatient(now, wait, it) && !q.hasRoomLate(now, it):
+	case q.isPatient(now, wait, it):
+	case q.isOnTime(now, it):
+		q.pressed = now + pressedFor
+		return refusal, false
+	case !q.hasRoomLate(now, it):
 		return refusal, false
 	}
 	q.insert(now, it)
@@ -123,8 +129,13 @@
 
 // hasRoomLate reports whether an item that will miss its objective may wait:
 // only while few such items do and the whole queue drains well before its
-// deadline, for it gets a slot when no other item wants one.
+// deadline, for it gets a slot when no other item wants one. While items that
+// could meet theirs are refused it may not, for the slot that it took would be
+// missing for the next of them.
 func (q *Queue) hasRoomLate(now time.Duration, it Item) bool {
+	if now < q.pressed {
+		return false
+	}
 	late := 0
 	for _, w := range q.waiting {
 		if !q.isOnTime(now, w) {
@@ -241,7 +252,7 @@
 	ahead := q.typical() / 2
 	q.waiting = slices.DeleteFunc(q.waiting, func(it Item) bool {
 		cost := q.cost(it.Class)
-		if now+ahead/time.Duration(q.slots)+cost > it.Deadline {
+		if now+ahead/time.Duration(q.slots)+cost > it.Deadline || now < q.pressed && !q.isOnTime(now, it) && !it.Inner {
 			expired = append(expired, it)
 			return true
 		}
