--- /dev/null
+++ b/internal/call/admission/admission_test.go
@@ -0,0 +1,176 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
+)
+
+const ms = time.Millisecond
+
+// warm returns a queue with the given slots whose requests take mean.
+func warm(slots int, mean time.Duration) *Queue {
+	q := New(slots)
+	q.Offer(0, Item{ID: 1, Class: "read", Objective: time.Hour, Deadline: time.Hour}, true)
+	q.Start(0)
+	q.Done(mean, 1, true)
+	return q
+}
+
+func read(id uint64, now, objective, deadline time.Duration) Item {
+	return Item{ID: id, Class: "read", Priority: 2, Objective: now + objective, Deadline: now + deadline}
+}
+
+func TestOffer(t *testing.T) {
+	for name, c := range map[string]struct {
+		running int
+		mayWait bool
+		item    Item
+		taken   bool
+		kind    gd.Kind
+	}{
+		"free slot":              {1, false, read(9, 0, 300*ms, 800*ms), true, 0},
+		"no slot, may not wait":  {2, false, read(9, 0, 300*ms, 800*ms), false, gd.QueueFull},
+		"no slot, may wait":      {2, true, read(9, 0, 400*ms, 800*ms), true, 0},
+		"deadline too close":     {2, true, read(9, 0, 300*ms, 100*ms), false, gd.Hopeless},
+		"late, while it is calm": {2, true, read(9, 0, 0, 800*ms), true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := warm(2, 80*ms)
+			for i := range c.running {
+				_, ok := q.Offer(0, read(uint64(i+2), 0, time.Second, time.Second), true)
+				is.True(ok)
+			}
+			is.Equal(len(q.Start(0)), c.running)
+			refusal, ok := q.Offer(0, c.item, c.mayWait)
+			is.Equal(ok, c.taken)
+			if !ok {
+				is.Equal(refusal.Kind, c.kind)
+				is.True(refusal.ComeBack > 0)
+				is.True(refusal.Kind.Is(refusal.Error()))
+			}
+		})
+	}
+}
+
+// TestOrder fills a queue and checks who goes first.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	q := warm(1, 10*ms)
+	q.Offer(0, read(2, 0, time.Second, time.Second), true)
+	is.Equal(len(q.Start(0)), 1)
+	inner := read(7, 0, time.Second, 2*time.Second)
+	inner.Inner = true
+	urgent := read(6, 0, 900*ms, 2*time.Second)
+	urgent.Priority = 1
+	late := read(3, 0, 5*ms, 2*time.Second)
+	for _, it := range []Item{late, read(4, 0, 800*ms, 2*time.Second), read(5, 0, 700*ms, 2*time.Second), urgent, inner} {
+		_, ok := q.Offer(0, it, true)
+		is.True(ok)
+	}
+	var order []uint64
+	for now := 10 * ms; q.Running() > 0; now += 10 * ms {
+		for id := range q.running {
+			q.Done(now, id, true)
+		}
+		for _, it := range q.Start(now) {
+			order = append(order, it.ID)
+		}
+	}
+	is.Equal(order, []uint64{7, 6, 5, 4, 3})
+}
+
+// TestSlotsAndItemsAreNeverLost plays random events and compares the counts
+// with a model: each item is refused, runs once, expires, or is cancelled.
+func TestSlotsAndItemsAreNeverLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		q := New(slots)
+		waiting, running := map[uint64]bool{}, map[uint64]bool{}
+		now, last := time.Duration(0), uint64(0)
+		start := func() {
+			for _, it := range q.Start(now) {
+				if !waiting[it.ID] {
+					t.Fatalf("%d starts and does not wait", it.ID)
+				}
+				delete(waiting, it.ID)
+				running[it.ID] = true
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "gap")) * ms
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				last++
+				it := Item{
+					ID: last, Class: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "class"),
+					Priority:  rapid.IntRange(0, 2).Draw(t, "priority"),
+					Objective: now + time.Duration(rapid.IntRange(0, 300).Draw(t, "objective"))*ms,
+					Deadline:  now + time.Duration(rapid.IntRange(0, 600).Draw(t, "deadline"))*ms,
+				}
+				if _, ok := q.Offer(now, it, rapid.Bool().Draw(t, "may wait")); ok {
+					waiting[it.ID] = true
+				}
+			case 2:
+				if ids := keys(running); len(ids) > 0 {
+					id := rapid.SampledFrom(ids).Draw(t, "done")
+					q.Done(now, id, rapid.Bool().Draw(t, "whole"))
+					delete(running, id)
+				}
+			case 3:
+				for _, it := range q.Expire(now) {
+					if !waiting[it.ID] {
+						t.Fatalf("%d expires and does not wait", it.ID)
+					}
+					delete(waiting, it.ID)
+				}
+			case 4:
+				if ids := keys(waiting); len(ids) > 0 {
+					id := rapid.SampledFrom(ids).Draw(t, "cancel")
+					if !q.Cancel(id) {
+						t.Fatalf("%d was not waiting", id)
+					}
+					delete(waiting, id)
+				}
+			}
+			start()
+			if q.Running() != len(running) || q.Waiting() != len(waiting) || q.Running() > slots {
+				t.Fatalf("%d run and %d wait, want %d and %d of %d slots", q.Running(), q.Waiting(), len(running), len(waiting), slots)
+			}
+			if len(waiting) > 0 && q.Running() < slots {
+				t.Fatalf("%d wait while a slot is free", len(waiting))
+			}
+		}
+	})
+}
+
+func keys(m map[uint64]bool) []uint64 {
+	var list []uint64
+	for id := range m {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func ExampleQueue() {
+	q := New(1)
+	for id := range uint64(2) {
+		_, taken := q.Offer(0, Item{ID: id, Class: "read", Objective: time.Second, Deadline: 2 * time.Second}, true)
+		fmt.Println(id, "taken:", taken, "starts:", len(q.Start(0)))
+	}
+	q.Done(50*ms, 0, true)
+	fmt.Println("next:", q.Start(50 * ms)[0].ID)
+	// Output:
+	// 0 taken: true starts: 1
+	// 1 taken: true starts: 0
+	// next: 1
+}
--- /dev/null
+++ b/internal/call/budget/budget_test.go
@@ -0,0 +1,69 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
+)
+
+// TestNoWindowIsExceeded plays random requests and repeats on several nodes and
+// counts the repeats in every window of the platform's rule.
+func TestNoWindowIsExceeded(t *testing.T) {
+	terms := Terms{Window: 10 * time.Second, Ratio: 0.2, Slack: 12}
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 4).Draw(t, "nodes")
+		budgets := make([]*Budget, nodes)
+		for i := range budgets {
+			budgets[i] = New(terms)
+		}
+		var requests, repeats []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond
+			b := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+			if rapid.Bool().Draw(t, "repeat") {
+				if b.Take(now, "shop", nodes) {
+					repeats = append(repeats, now)
+				}
+				continue
+			}
+			b.Requested(now, "shop")
+			requests = append(requests, now)
+		}
+		for _, from := range repeats {
+			in := count(repeats, from, from+terms.Window)
+			// Each repeat was within the ratio of the requests in the window
+			// before it, and those reach back a whole window.
+			asked := count(requests, from-terms.Window, from+terms.Window)
+			if float64(in) > terms.Ratio*float64(asked)+terms.Slack {
+				t.Fatalf("%d repeats from %s, %d requests", in, from, asked)
+			}
+		}
+	})
+}
+
+func count(list []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range list {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+func TestBudgetOfOneServiceIsNotSpentByAnother(t *testing.T) {
+	is := is.New(t)
+	b := New(Terms{Window: 10 * time.Second, Slack: 2})
+	is.True(b.Take(0, "a", 1))
+	is.True(b.Take(0, "a", 1))
+	is.True(!b.Take(0, "a", 1))
+	is.True(b.Take(0, "b", 1))
+	is.True(!b.Take(9*time.Second, "a", 1))
+	is.True(b.Take(11*time.Second, "a", 1)) // the window has passed
+	is.True(!b.Take(0, "c", 4))             // a fourth of the slack is less than one
+}
--- /dev/null
+++ b/internal/call/route/route_test.go
@@ -0,0 +1,107 @@
+package route
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
+)
+
+var someLimits = Limits{HeaderBytes: 1024, BodyBytes: 1024, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+
+func of(prefixes ...string) []Route {
+	var list []Route
+	for _, p := range prefixes {
+		list = append(list, Route{Name: p, Host: "shop.example", Prefix: p, Attempts: 1, Backends: []Backend{{"shop", 1}}})
+	}
+	return list
+}
+
+func TestMatch(t *testing.T) {
+	p, err := New(1, someLimits, []string{"shop"}, of("/", "/a/", "/a/b/"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{
+		"/": "/", "/x": "/", "/a": "/", "/a/": "/a/", "/a/b": "/a/", "/a/b/": "/a/b/", "/a/b/c/d": "/a/b/", "/a//b": "/a/",
+	} {
+		r, ok := p.Match("Shop.Example:8080", path)
+		if !ok || r.Prefix != want {
+			t.Errorf("%s: got %v %v, want %s", path, r, ok, want)
+		}
+	}
+	_, ok := p.Match("other.example", "/a/")
+	is.New(t).True(!ok)
+}
+
+// TestMatchAgainstANaiveSearch compares with a search over all prefixes.
+func TestMatchAgainstANaiveSearch(t *testing.T) {
+	path := rapid.StringMatching(`(/[ab]{0,2}){1,4}/?`)
+	prefix := rapid.Map(path, func(s string) string { return strings.TrimSuffix(s, "/") + "/" })
+	rapid.Check(t, func(t *rapid.T) {
+		prefixes := rapid.SliceOfNDistinct(prefix, 0, 8, rapid.ID[string]).Draw(t, "prefixes")
+		p, err := New(1, someLimits, []string{"shop"}, of(prefixes...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		asked := path.Draw(t, "path")
+		want := ""
+		for _, candidate := range prefixes {
+			if strings.HasPrefix(asked, candidate) && len(candidate) > len(want) {
+				want = candidate
+			}
+		}
+		r, ok := p.Match("shop.example", asked)
+		if ok != (want != "") || ok && r.Prefix != want {
+			t.Fatalf("%s among %q: got %v %v, want %q", asked, prefixes, r, ok, want)
+		}
+	})
+}
+
+func TestServiceKeepsTheWeights(t *testing.T) {
+	is := is.New(t)
+	r := Route{Backends: []Backend{{"a", 90}, {"b", 0}, {"c", 10}}}
+	counts := map[string]int{}
+	const n = 1000
+	for i := range n {
+		counts[r.Service(float64(i)/n)]++
+	}
+	is.Equal(counts, map[string]int{"a": 900, "c": 100})
+	is.Equal(r.Service(1), "c")
+}
+
+func TestNewRefusesTheWhole(t *testing.T) {
+	good := of("/a/")[0]
+	for name, c := range map[string]struct {
+		limits Limits
+		change func(*Route)
+		names  string // what the error must name
+	}{
+		"no limits":        {Limits{}, func(*Route) {}, "limits"},
+		"no host":          {someLimits, func(r *Route) { r.Host = "" }, "host"},
+		"bare prefix":      {someLimits, func(r *Route) { r.Prefix = "/a" }, "prefix"},
+		"relative prefix":  {someLimits, func(r *Route) { r.Prefix = "a/" }, "prefix"},
+		"no attempt":       {someLimits, func(r *Route) { r.Attempts = 0 }, "attempts"},
+		"negative timeout": {someLimits, func(r *Route) { r.Timeout = -1 }, "timeout"},
+		"unknown service":  {someLimits, func(r *Route) { r.Backends = []Backend{{"other", 1}} }, "other"},
+		"no service":       {someLimits, func(r *Route) { r.Backends = nil }, "no service"},
+		"negative weight":  {someLimits, func(r *Route) { r.Backends = []Backend{{"shop", -1}} }, "weight"},
+		"no weight":        {someLimits, func(r *Route) { r.Backends = []Backend{{"shop", 0}} }, "weights"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := good
+			c.change(&r)
+			_, err := New(1, c.limits, []string{"shop"}, append(of("/first/"), r))
+			is.True(gd.Invalid.Is(err))
+			is.True(strings.Contains(gd.Message(err), c.names))
+		})
+	}
+	_, err := New(1, someLimits, []string{"shop"}, of("/a/", "/a/"))
+	is.New(t).True(gd.Invalid.Is(err)) // two routes serve the same place
+}
--- a/internal/proxy/sidecar/fleet_test.go
+++ b/internal/proxy/sidecar/fleet_test.go
@@ -196,9 +196,13 @@
 		}
 		return res.Body.Close() == nil && res.StatusCode == http.StatusServiceUnavailable
 	}))
-	late := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "late"})
+	late := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "late", Deadline: time.Second})
 	is.NoErr(late.Err)
 	is.Equal(late.Status, http.StatusOK) // by the other server
+	long := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "long"})
+	is.NoErr(long.Err)
+	is.Equal(long.Status, http.StatusServiceUnavailable) // it may outlast the node
+	is.Equal(runs(f, "long"), 0)
 	is.Equal(f.VMs[0].Server.RunsOf("late"), 0)
 	for range n {
 		a := <-answers
