--- /dev/null
+++ b/cmd/geraniumdock/emulate.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/load/emulator"
+	"github.com/geraniumdock/geraniumdock/internal/load/report"
+)
+
+type emulateCommand struct {
+	Plot       string `long:"plot" value-name:"FILE" description:"write an SVG of the share in objective, second by second"`
+	Positional struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute plays an experiment and prints what callers got.
+func (c *emulateCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Positional.File)
+	if err != nil {
+		return gd.Invalid.Wrapf(err, "experiment")
+	}
+	x, err := emulator.Parse(data, c.Positional.File)
+	if err != nil {
+		return err
+	}
+	values := x.Sweep.Values
+	if len(values) == 0 {
+		values = []float64{1}
+	}
+	var runs []report.Run
+	for i, v := range values {
+		name := "run"
+		if x.Sweep.Parameter != "" {
+			name = fmt.Sprintf("%s=%g", x.Sweep.Parameter, v)
+		}
+		fmt.Fprintf(os.Stderr, "%d of %d: %s\n", i+1, len(values), name)
+		runs = append(runs, report.Run{Name: name, Result: emulator.Run(x.With(v))})
+	}
+	if err := report.Table(os.Stdout, runs); err != nil {
+		return err
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	f, err := os.Create(c.Plot)
+	if err != nil {
+		return gd.Invalid.Wrapf(err, "plot")
+	}
+	if err := report.Plot(f, runs); err != nil {
+		f.Close() // the error of the plot says more
+		return err
+	}
+	return f.Close()
+}
--- a/cmd/geraniumdock/main.go
+++ b/cmd/geraniumdock/main.go
@@ -68,6 +68,7 @@
 	mustAdd(p.Command, []command{
 		{"serve", "run a node", "Runs the node beside a backend server until it is told to stop by SIGINT or SIGTERM; calls in flight are then finished.", &serveCommand{}},
 		{"sidecar", "run a node on the platform", "Runs a node beside a backend server on the platform until it is told to stop by SIGINT or SIGTERM. Its settings come from --settings or from the environment variable GERANIUMDOCK_SETTINGS.", &sidecarCommand{}},
+		{"emulate", "play load on the decisions", "Plays an experiment on the decisions of placing, queueing and refusing in virtual time, without a network, and prints what callers got.", &emulateCommand{}},
 		{"check", "check settings and table files", "Checks settings files (.yaml with a data-centre) and table files (.yaml, .csv) without starting anything.", &checkCommand{}},
 		{"status", "tell where each row is in force", "Tells for each row of the table on how many nodes its newest change is in force, and which nodes lag.", &statusCommand{}},
 		{"servers", "list the backend servers", "Lists the backend servers that the node knows, with their state.", &serversCommand{}},
--- /dev/null
+++ b/internal/load/report/report.go
@@ -0,0 +1,72 @@
+// Package report prints the results of the emulator as a table and draws them
+// as a plot.
+package report
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/wcharczuk/go-chart/v2"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/load/emulator"
+)
+
+// Run is a result with the name under which it is shown.
+type Run struct {
+	Name   string
+	Result *emulator.Result
+}
+
+// Table writes what the callers of each class got.
+func Table(w io.Writer, runs []Run) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "run\tclass\tasked\tin objective\tlate\tunserved\trefusals\tp50\tp99\tworth\t")
+	for _, r := range runs {
+		for _, name := range r.Result.Names() {
+			o := r.Result.Classes[name]
+			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%s\t%s\t%.3f\t\n", r.Name, name, o.Asked, o.InObjective(), o.Late,
+				o.Unserved, o.Refused, o.Percentile(0.5).Round(precision), o.Percentile(0.99).Round(precision), r.Result.Worth())
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return gd.Unavailable.Wrapf(err, "table")
+	}
+	return nil
+}
+
+// precision of the times in a table.
+const precision = 100_000 // nanoseconds
+
+// Size of a plot in pixels.
+const (
+	plotWidth  = 900
+	plotHeight = 400
+)
+
+// Plot writes an SVG that shows, second by second, the share of the clients'
+// requests that were answered within their objective.
+func Plot(w io.Writer, runs []Run) error {
+	graph := chart.Chart{
+		Width: plotWidth, Height: plotHeight,
+		XAxis: chart.XAxis{Name: "second"},
+		YAxis: chart.YAxis{Name: "share in objective", Range: &chart.ContinuousRange{Min: 0, Max: 1}},
+	}
+	for _, r := range runs {
+		line := chart.ContinuousSeries{Name: r.Name}
+		for i, s := range r.Result.Seconds {
+			if s.Asked == 0 {
+				continue
+			}
+			line.XValues = append(line.XValues, float64(i))
+			line.YValues = append(line.YValues, float64(s.InTime)/float64(s.Asked))
+		}
+		graph.Series = append(graph.Series, line)
+	}
+	graph.Elements = []chart.Renderable{chart.LegendThin(&graph)}
+	if err := graph.Render(chart.SVG, w); err != nil {
+		return gd.Invalid.Wrapf(err, "plot")
+	}
+	return nil
+}
