--- a/internal/load/emulator/world.go
+++ b/internal/load/emulator/world.go
@@ -16,7 +16,6 @@
 
 const (
 	hop        = 200 * time.Microsecond // one way within a data centre, with the work of the nodes
-	probes     = 3                      // nodes that are asked for a free slot before a request waits
 	expireTick = 50 * time.Millisecond  // between two looks for requests that wait in vain
 	repeatAll  = 10 * time.Second       // window of the retry budget
 	backoff    = 10 * time.Millisecond  // of a client after a failure
@@ -63,9 +62,7 @@
 	repeats  int // of the client
 	inner    bool
 	done     func(ok bool)
-	asked    []string
-	full     []string
-	reached  int
+	search   placement.Search
 }
 
 // try is a request at a server.
@@ -174,7 +171,7 @@
 func (w *world) place(r *request) {
 	in := r.ingress
 	in.budget.Requested(w.now, r.class.Service)
-	r.asked, r.full, r.reached = nil, nil, 0
+	r.search = placement.Search{}
 	w.next(r)
 }
 
@@ -207,7 +204,7 @@
 	switch in.w.x.Placement {
 	case PlaceRobin:
 		in.robin++
-		return serving[in.robin%len(serving)], true, len(r.asked) == 0
+		return serving[in.robin%len(serving)], true, r.search.Asked() == 0
 	case PlaceLeast:
 		best := serving[in.w.rnd.IntN(len(serving))]
 		for _, s := range serving {
@@ -215,27 +212,14 @@
 				best = s
 			}
 		}
-		return best, true, len(r.asked) == 0
+		return best, true, r.search.Asked() == 0
 	}
-	if len(r.full) < probes {
-		if rec, _, ok := in.estimates.Choose(in.w.now, r.class.Name, serving, r.asked); ok {
-			return rec, false, true
-		}
-	}
-	var full []server.Record
-	for _, s := range serving {
-		if slices.Contains(r.full, s.Node) {
-			full = append(full, s)
-		}
-	}
-	rec, _, ok = in.estimates.Choose(in.w.now, r.class.Name, full, nil)
-	return rec, true, ok
+	return in.estimates.Next(in.w.now, r.class.Name, serving, &r.search)
 }
 
 // offer has the station of n take or refuse the request.
 func (n *node) offer(r *request, mayWait bool, way time.Duration) {
 	w := n.w
-	r.asked = append(r.asked, n.record.Node)
 	w.lastID++
 	t := &try{r: r, at: n, id: w.lastID}
 	if n.hit(Down) > 0 {
@@ -273,9 +257,7 @@
 	} else {
 		in.estimates.Unreachable(w.now, n.record.Node)
 	}
-	if full {
-		r.full = append(r.full, n.record.Node)
-	}
+	r.search.WasAsked(n.record.Node, full)
 	if mayWait || w.now >= r.deadline {
 		w.refused(r, comeBack)
 		return
@@ -317,7 +299,6 @@
 	w := n.w
 	delete(n.waiting, t.id)
 	n.running[t.id] = t
-	t.r.reached++
 	c := t.r.class
 	work := time.Duration(float64(c.Work) * n.speed * math.Exp(c.Spread*w.rnd.NormFloat64()-c.Spread*c.Spread/2))
 	if f := n.hit(Slow); f > 0 {
@@ -373,6 +354,7 @@
 			r.done(true)
 		case r.class.Idempotent && r.ingress.budget.Take(w.now, r.class.Service, len(w.nodes)):
 			r.ingress.estimates.Failed(w.now, n.record.Node)
+			r.search.WasAsked(n.record.Node, false)
 			w.next(r)
 		default:
 			r.ingress.estimates.Failed(w.now, n.record.Node)
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -125,8 +125,7 @@
 	objective time.Duration // instant until which the answer has its full value
 	inner     bool
 
-	asked   []string // nodes that were asked, in order
-	full    []string // of these, those that had no free slot
+	search  placement.Search
 	reached int      // servers that the request has reached
 	ran     bool     // a server may have run it
 	steps   []string // what became of each try, for the log
--- a/internal/proxy/ingress/refuse.go
+++ b/internal/proxy/ingress/refuse.go
@@ -59,7 +59,7 @@
 // log writes the line of the request and has its outcome counted.
 func (j *journey) log(code int, err error) {
 	now := j.g.cfg.Clock.Monotonic()
-	o := Outcome{Status: code, Took: now - j.began, Tries: len(j.asked), Reached: j.reached}
+	o := Outcome{Status: code, Took: now - j.began, Tries: j.search.Asked(), Reached: j.reached}
 	if err != nil {
 		o.Failed, o.Kind = true, gd.KindOf(err)
 	}
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
@@ -15,13 +14,8 @@
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
-const (
-	// probes is how many nodes are asked for a free slot before the request
-	// waits at one of them.
-	probes = 3
-	// maxTries bounds the nodes that one request is offered to.
-	maxTries = 8
-)
+// maxTries bounds the nodes that one request is offered to.
+const maxTries = 12
 
 // run tries nodes until one answers or nothing is left to try.
 func (j *journey) run(ctx context.Context) *http.Response {
@@ -37,7 +31,7 @@
 // tryAll returns the answer of a server, or what became of the last try.
 func (j *journey) tryAll(ctx context.Context) request.Answer {
 	var last request.Answer
-	for len(j.asked) < maxTries {
+	for j.search.Asked() < maxTries {
 		rec, mayWait, ok := j.next()
 		if !ok {
 			break
@@ -69,19 +63,7 @@
 		g.directory = j.snapshot.Directory.Generation()
 		g.estimates.Retain(func(node string) bool { _, ok := j.snapshot.Directory.Record(node); return ok })
 	}
-	if len(j.full) < probes {
-		if rec, _, ok := g.estimates.Choose(now, j.route.Name, serving, j.asked); ok {
-			return rec, false, true
-		}
-	}
-	var full []server.Record
-	for _, r := range serving {
-		if slices.Contains(j.full, r.Node) {
-			full = append(full, r)
-		}
-	}
-	rec, _, ok = g.estimates.Choose(now, j.route.Name, full, nil)
-	return rec, true, ok
+	return g.estimates.Next(now, j.route.Name, serving, &j.search)
 }
 
 // try sends the request to a node.
@@ -150,15 +132,12 @@
 
 // learn takes what a try shows of the node and of the request.
 func (j *journey) learn(ctx context.Context, rec server.Record, a request.Answer) {
-	j.asked = append(j.asked, rec.Node)
+	j.search.WasAsked(rec.Node, a.Response == nil && gd.QueueFull.Is(a.Err))
 	j.steps = append(j.steps, rec.Node+" "+stepName(a))
 	if a.Reached {
 		j.reached++
 		j.ran = j.ran || !a.IsNotRun()
 	}
-	if a.Response == nil && gd.QueueFull.Is(a.Err) {
-		j.full = append(j.full, rec.Node)
-	}
 	g := j.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
