--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -33,8 +33,8 @@
 	jitter         = 0.1                    // share by which equal servers are told apart
 	silentFor      = 10 * time.Second       // reports older than this say nothing
 	coldFactor     = 2                      // a cold server takes this many times longer
-	unreachableFor = 300 * time.Millisecond // first pause after a node could not be reached
-	maxUnreachable = 3 * time.Second
+	unreachableFor = 500 * time.Millisecond // first pause after a node could not be reached
+	maxUnreachable = 8 * time.Second
 )
 
 // Load is what a node says of the server beside it.
@@ -67,6 +67,7 @@
 	punished    time.Duration
 	unreachable time.Duration // pause after the last failure to reach the node
 	retryAt     time.Duration
+	incarnation uint64 // of the node that could not be reached
 }
 
 // New returns the estimates of a node in dataCentre.
@@ -81,19 +82,23 @@
 }
 
 // Choose returns the server with the least cost among a sample of serving,
-// without those in tried. It reports false if none is left.
+// without those in tried. A node that could not be reached is only chosen where
+// no other is left and none was tried, or for one request when its pause has
+// passed. It reports false if none is left.
 func (e *Estimates) Choose(now time.Duration, class string, serving []server.Record, tried []string) (server.Record, []Candidate, bool) {
-	var left []server.Record
+	var reachable, paused []server.Record
 	for _, r := range serving {
-		if !slices.Contains(tried, r.Node) {
-			left = append(left, r)
+		switch {
+		case slices.Contains(tried, r.Node):
+		case e.isPaused(now, r):
+			paused = append(paused, r)
+		default:
+			reachable = append(reachable, r)
 		}
 	}
-	if reachable := slices.DeleteFunc(slices.Clone(left), func(r server.Record) bool {
-		n, ok := e.nodes[r.Node]
-		return ok && now < n.retryAt
-	}); len(reachable) > 0 {
-		left = reachable
+	left := reachable
+	if len(left) == 0 && len(tried) == 0 {
+		left = paused
 	}
 	if len(left) == 0 {
 		return server.Record{}, nil, false
@@ -108,9 +113,26 @@
 			best, least = r, cost
 		}
 	}
+	if n := e.of(best.Node); n.unreachable > 0 {
+		n.retryAt = now + n.unreachable // the others wait for what this request finds
+	}
 	return best, candidates, true
 }
 
+// isPaused reports whether the node could not be reached a short while ago. A
+// node that has started again since is not paused.
+func (e *Estimates) isPaused(now time.Duration, r server.Record) bool {
+	n, ok := e.nodes[r.Node]
+	if !ok || n.unreachable == 0 {
+		return false
+	}
+	if r.Incarnation != n.incarnation {
+		n.unreachable = 0
+		return false
+	}
+	return now < n.retryAt
+}
+
 // sample returns a random part of records that holds those of the own data
 // centre first.
 func (e *Estimates) sample(records []server.Record) []server.Record {
@@ -220,7 +242,7 @@
 func (e *Estimates) Heard(now time.Duration, node string, l Load) {
 	n := e.of(node)
 	n.load, n.heard, n.isHeard = l, now, true
-	n.unreachable, n.retryAt = 0, 0
+	n.unreachable = 0
 }
 
 // Wait returns the wait that node last told of.
@@ -233,12 +255,22 @@
 	n.punished = now
 }
 
-// Unreachable notes that node could not be reached. It is left alone for a
-// while that doubles each time.
-func (e *Estimates) Unreachable(now time.Duration, node string) {
-	n := e.of(node)
+// Unreachable notes that the node of r could not be reached. It is left alone
+// for a while that doubles each time.
+func (e *Estimates) Unreachable(now time.Duration, r server.Record) {
+	n := e.of(r.Node)
+	if now < n.retryAt && n.unreachable > 0 && n.incarnation == r.Incarnation {
+		return // several requests were under way when it went
+	}
 	n.unreachable = min(max(2*n.unreachable, unreachableFor), maxUnreachable)
-	n.retryAt = now + n.unreachable
+	n.retryAt, n.incarnation = now+n.unreachable, r.Incarnation
+}
+
+// Reached notes that node was heard in another way.
+func (e *Estimates) Reached(node string) {
+	if n, ok := e.nodes[node]; ok {
+		n.unreachable = 0
+	}
 }
 
 // Transferred notes how many bytes a request of the class took, to and fro.
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -128,6 +128,9 @@
 func (s *state) take(m Message) {
 	if m.Node != "" {
 		s.heard[m.Node] = s.r.cfg.Clock.Monotonic()
+		if s.r.cfg.OnHeard != nil {
+			s.r.cfg.OnHeard(m.Node)
+		}
 	}
 	if m.Version > s.version() {
 		if m.Policy != nil {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -45,6 +45,7 @@
 	Clock      gd.Clock
 	Log        hclog.Logger
 	Seed       uint64
+	OnHeard    func(node string)   // told of each message of another node
 	OnAdoption func(server.Record) // told of an own record that an earlier process left
 }
 
--- a/internal/load/emulator/world.go
+++ b/internal/load/emulator/world.go
@@ -255,7 +255,7 @@
 	if heard {
 		in.estimates.Heard(w.now, n.record.Node, n.load())
 	} else {
-		in.estimates.Unreachable(w.now, n.record.Node)
+		in.estimates.Unreachable(w.now, n.record)
 	}
 	r.search.WasAsked(n.record.Node, full)
 	if mayWait || w.now >= r.deadline {
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// Reached notes that a node was heard, so that requests are sent to it again.
+func (g *Ingress) Reached(node string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.estimates.Reached(node)
+}
+
 // StopAt has requests refused that may not be answered before the given
 // instant, at which the node ends.
 func (g *Ingress) StopAt(at time.Duration) { g.stopAt.Store(int64(at)) }
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -153,7 +153,7 @@
 			g.estimates.Failed(now, rec.Node)
 		}
 	case gd.NoServer.Is(a.Err) && !a.HasLoad, gd.Misplaced.Is(a.Err):
-		g.estimates.Unreachable(now, rec.Node)
+		g.estimates.Unreachable(now, rec)
 	case ctx.Err() == nil && a.Reached, gd.NoServer.Is(a.Err):
 		g.estimates.Failed(now, rec.Node)
 	}
--- a/internal/proxy/peer/client.go
+++ b/internal/proxy/peer/client.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	idleTimeout = 60 * time.Second
 	// userTimeout ends a connection on which nothing was acknowledged, for a
 	// node without power or behind a cut does not answer at all.
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -101,6 +101,7 @@
 		Clock:      cfg.Clock,
 		Log:        cfg.Log,
 		Seed:       cfg.Seed,
+		OnHeard:    func(node string) { s.ingress.Reached(node) },
 		OnAdoption: func(r server.Record) { s.station.Adopt(r) },
 	})
 	s.station = station.New(station.Config{
