--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -22,7 +22,7 @@
 	firstEstimate  = 50 * time.Millisecond  // slot time of a server before any is known
 	way            = 2 * time.Millisecond   // to and from another data centre
 	hop            = 2 * time.Millisecond   // to and from another node, with the processor time of both
-	perKilobyte    = 2 * time.Millisecond   // wait that saving a kilobyte between data centres is worth
+	perKilobyte    = 4 * time.Millisecond   // wait that saving a kilobyte between data centres is worth
 	baseBytes      = 1 << 10                // of heads, to and fro
 	firstPenalty   = 150 * time.Millisecond // after a failure
 	maxPenalty     = 3 * time.Second
@@ -182,11 +182,17 @@
 		cost += hop
 	}
 	if e.distance(r) > 0 {
-		cost += way + time.Duration((baseBytes+e.bytes[class])/1024*float64(perKilobyte))
+		cost += e.farCost(class)
 	}
 	return cost + time.Duration(jitter*e.rnd.Float64()*float64(mean))
 }
 
+// farCost is the cost of the way to another data centre: its time, and the wait
+// that sparing its bytes is worth.
+func (e *Estimates) farCost(class string) time.Duration {
+	return way + time.Duration((baseBytes+e.bytes[class])/1024*float64(perKilobyte))
+}
+
 // ahead estimates the requests at the server: those of this node, and what the
 // last report said of others, which fades.
 func (e *Estimates) ahead(now time.Duration, n *estimate) float64 {
--- /dev/null
+++ b/internal/call/placement/placement_test.go
@@ -0,0 +1,199 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/geraniumdock/geraniumdock/internal/seeded"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+const ms = time.Millisecond
+
+func records(n int, dataCentres ...string) []server.Record {
+	var list []server.Record
+	for i := range n {
+		list = append(list, server.Record{Node: fmt.Sprint("n", i), Service: "shop", DataCentre: dataCentres[i%len(dataCentres)], Slots: 2, Incarnation: 1})
+	}
+	return list
+}
+
+func estimates() *Estimates { return New("own", "a", rand.New(rand.NewPCG(1, 1))) }
+
+// chosen counts how often each node is chosen in many choices.
+func chosen(e *Estimates, now time.Duration, serving []server.Record, tried ...string) map[string]int {
+	counts := map[string]int{}
+	for range 200 {
+		if r, _, ok := e.Choose(now, "read", serving, tried); ok {
+			counts[r.Node]++
+		}
+	}
+	return counts
+}
+
+func TestChoosePrefers(t *testing.T) {
+	idle := Load{Slots: 2, Mean: 100 * ms}
+	for name, c := range map[string]struct {
+		better, worse func(e *Estimates, node string)
+	}{
+		"the faster server": {
+			func(e *Estimates, n string) { e.Heard(0, n, idle) },
+			func(e *Estimates, n string) { e.Heard(0, n, Load{Slots: 2, Mean: 200 * ms}) },
+		},
+		"the shorter queue": {
+			func(e *Estimates, n string) { e.Heard(0, n, idle) },
+			func(e *Estimates, n string) {
+				e.Heard(0, n, Load{Slots: 2, Mean: 100 * ms, Running: 2, Waiting: 3})
+			},
+		},
+		"fewer of its own requests": {
+			func(e *Estimates, n string) { e.Heard(0, n, idle) },
+			func(e *Estimates, n string) {
+				e.Heard(0, n, idle)
+				for range 4 {
+					e.Sent(n)
+				}
+			},
+		},
+		"the warm server": {
+			func(e *Estimates, n string) { e.Heard(0, n, idle) },
+			func(e *Estimates, n string) { e.Heard(0, n, Load{Slots: 2, Mean: 100 * ms, Cold: time.Second}) },
+		},
+		"the one that does not fail": {
+			func(e *Estimates, n string) { e.Heard(0, n, idle) },
+			func(e *Estimates, n string) { e.Heard(0, n, Load{Slots: 2, Mean: 100 * ms, Failing: 0.5}) },
+		},
+		"the one that has not failed lately": {
+			func(e *Estimates, n string) { e.Heard(0, n, idle) },
+			func(e *Estimates, n string) { e.Heard(0, n, idle); e.Failed(0, n) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, serving := estimates(), records(2, "a")
+			c.better(e, "n0")
+			c.worse(e, "n1")
+			is.Equal(chosen(e, ms, serving), map[string]int{"n0": 200})
+		})
+	}
+}
+
+func TestChoosePrefersTheOwnDataCentreUntilItIsFull(t *testing.T) {
+	is := is.New(t)
+	e, serving := estimates(), records(2, "a", "b")
+	for _, r := range serving {
+		e.Heard(0, r.Node, Load{Slots: 2, Mean: 100 * ms})
+	}
+	is.True(chosen(e, 0, serving)["n0"] > 150)
+	e.Heard(0, "n0", Load{Slots: 2, Mean: 100 * ms, Running: 2, Waiting: 2})
+	is.Equal(chosen(e, 0, serving), map[string]int{"n1": 200})
+	e.Transferred("read", 200<<10) // a large body waits rather than going far
+	is.Equal(chosen(e, 0, serving), map[string]int{"n0": 200})
+}
+
+// TestUnreachableNode checks that a node that cannot be reached gets one request
+// a pause and no more, and all again once it was heard or has started anew.
+func TestUnreachableNode(t *testing.T) {
+	is := is.New(t)
+	e, serving := estimates(), records(3, "a")
+	e.Unreachable(0, serving[0])
+	is.Equal(chosen(e, 0, serving)["n0"], 0)
+	_, _, ok := e.Choose(0, "read", serving, []string{"n1", "n2"})
+	is.True(!ok) // it is no way out once others were asked
+	only, _, ok := e.Choose(0, "read", serving[:1], nil)
+	is.True(ok) // it is where there is no other
+	is.Equal(only.Node, "n0")
+	after := chosen(e, unreachableFor, serving)["n0"]
+	is.True(after <= 1) // one request finds out
+	e.Unreachable(2*unreachableFor, serving[0])
+	is.Equal(chosen(e, 3*unreachableFor-ms, serving)["n0"], 0) // the pause has doubled
+	e.Reached("n0")
+	is.True(chosen(e, 3*unreachableFor, serving)["n0"] > 0)
+	e.Unreachable(0, serving[0])
+	serving[0].Incarnation++
+	is.True(chosen(e, 0, serving)["n0"] > 0)
+}
+
+// TestSearchAsksEachNodeOnce walks random searches in which every node has no
+// slot: each is asked once for a slot and at most once to have the request wait.
+func TestSearchAsksEachNodeOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 15).Draw(t, "nodes")
+		e, serving := estimates(), records(max(n, 1), "a", "b")[:n]
+		var s Search
+		probed, waited := map[string]bool{}, map[string]bool{}
+		for range 3 * (n + 1) {
+			rec, mayWait, ok := e.Next(0, "read", serving, &s)
+			if !ok {
+				break
+			}
+			seen := probed
+			if mayWait {
+				seen = waited
+			}
+			if seen[rec.Node] {
+				t.Fatalf("%s is asked twice, may wait: %v", rec.Node, mayWait)
+			}
+			seen[rec.Node] = true
+			e.Heard(0, rec.Node, Load{Slots: 2, Running: 2, Waiting: 5, Mean: 50 * ms, Wait: 100 * ms})
+			s.WasAsked(rec.Node, true)
+		}
+		if len(probed) < min(n, probes) {
+			t.Fatalf("%d of %d nodes were asked for a slot", len(probed), n)
+		}
+		if len(waited) != len(probed) {
+			t.Fatalf("%d nodes had no slot, %d were asked to have the request wait", len(probed), len(waited))
+		}
+	})
+}
+
+// TestLargeBodyWaitsNearby checks that an upload rather waits in the own data
+// centre than goes to a free slot in another.
+func TestLargeBodyWaitsNearby(t *testing.T) {
+	is := is.New(t)
+	for bytes, want := range map[int64]string{1 << 10: "n1", 100 << 10: "n0"} {
+		e, serving := estimates(), records(2, "a", "b")
+		e.Transferred("upload", bytes)
+		e.Heard(0, "n0", Load{Slots: 2, Running: 2, Mean: 100 * ms, Wait: 50 * ms})
+		var s Search
+		s.WasAsked("n0", true)
+		rec, mayWait, ok := e.Next(0, "upload", serving, &s)
+		is.True(ok)
+		is.Equal(rec.Node, want)
+		is.Equal(mayWait, want == "n0")
+	}
+}
+
+func TestSampleHoldsBothNearAndFar(t *testing.T) {
+	is := is.New(t)
+	e := estimates()
+	serving := records(40, "a", "b")
+	for range 50 {
+		s := e.sample(slices.Clone(serving))
+		is.Equal(len(s), sampled)
+		near := 0
+		for _, r := range s {
+			if r.DataCentre == "a" {
+				near++
+			}
+		}
+		is.True(near > 0 && near < sampled)
+	}
+}
+
+func ExampleEstimates() {
+	e := New("node-1", "west", rand.New(rand.NewPCG(1, 1)))
+	serving := []server.Record{{Node: "node-1", DataCentre: "west", Slots: 2}, {Node: "node-2", DataCentre: "west", Slots: 2}}
+	e.Heard(0, "node-1", Load{Slots: 2, Running: 2, Waiting: 4, Mean: 80 * ms})
+	e.Heard(0, "node-2", Load{Slots: 2, Mean: 80 * ms})
+	var s Search
+	rec, mayWait, _ := e.Next(0, "read", serving, &s)
+	fmt.Println(rec.Node, mayWait)
+	// Output: node-2 false
+}
--- a/internal/call/placement/search.go
+++ b/internal/call/placement/search.go
@@ -7,44 +7,50 @@
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
-// probes is how many nodes are asked for a free slot before a request waits at
-// one of them. With fewer, slow servers stay idle while requests wait at fast
-// ones: the load of the last answers does not tell which slot is free.
+// probes is how many nodes are asked for a free slot. With fewer, slow servers
+// stay idle while requests wait at fast ones: the load of the last answers does
+// not tell which slot is free.
 const probes = 8
 
 // Search is the way of one request from node to node. The zero value has not
 // begun.
 type Search struct {
 	asked []string
-	full  []string // of these, those that had no free slot
+	full  []string // of these, those that had no free slot and were not asked to have the request wait
 }
 
-// Asked returns how many nodes were asked.
+// Asked returns how many times a node was asked.
 func (s *Search) Asked() int { return len(s.asked) }
 
-// WasAsked notes that a node was asked, and whether it had no free slot.
+// WasAsked notes that a node was asked, and whether it had no free slot. A node
+// that would not have the request wait is not asked again.
 func (s *Search) WasAsked(node string, isFull bool) {
-	s.asked = append(s.asked, node)
-	if isFull {
+	if again := slices.Contains(s.asked, node); again || !isFull {
+		s.full = slices.DeleteFunc(s.full, func(n string) bool { return n == node })
+	} else {
 		s.full = append(s.full, node)
 	}
+	s.asked = append(s.asked, node)
 }
 
-// Next returns the node to ask next: one that may have a free slot, or, after
-// several had none, the one of these at which the request is served first, with
-// leave to wait there. It reports false if none is left.
+// Next returns the node to ask next: one that may have a free slot, or one that
+// had none, with leave to wait there: when enough were asked, or where a short
+// wait in the own data centre costs less than the bytes to another. It reports
+// false if none is left.
 func (e *Estimates) Next(now time.Duration, class string, serving []server.Record, s *Search) (rec server.Record, mayWait, ok bool) {
-	if len(s.full) < probes {
-		if rec, _, ok := e.Choose(now, class, serving, s.asked); ok {
-			return rec, false, true
-		}
-	}
 	var full []server.Record
 	for _, r := range serving {
 		if slices.Contains(s.full, r.Node) {
 			full = append(full, r)
 		}
 	}
-	rec, _, ok = e.Choose(now, class, full, nil)
-	return rec, true, ok
+	waiting, _, canWait := e.Choose(now, class, full, nil)
+	if len(s.asked) < probes {
+		probed, _, canProbe := e.Choose(now, class, serving, s.asked)
+		isNearer := canWait && e.distance(waiting) < e.distance(probed)
+		if canProbe && !(isNearer && e.Wait(waiting.Node) < e.farCost(class)) {
+			return probed, false, true
+		}
+	}
+	return waiting, true, canWait
 }
--- /dev/null
+++ b/internal/load/emulator/emulator_test.go
@@ -0,0 +1,135 @@
+package emulator
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+func burst(t *testing.T) Experiment {
+	t.Helper()
+	const file = "../../../examples/emulator/burst.yaml"
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := Parse(data, file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// TestRunIsRepeatable plays one experiment twice.
+func TestRunIsRepeatable(t *testing.T) {
+	is := is.New(t)
+	x := burst(t)
+	one, other := Run(x), Run(x)
+	is.Equal(one.Seconds, other.Seconds)
+	is.Equal(one.Worth(), other.Worth())
+}
+
+// TestEveryRequestEnds counts that each request is answered or not, once.
+func TestEveryRequestEnds(t *testing.T) {
+	is := is.New(t)
+	x := burst(t).With(1.6)
+	x.Duration = 10 * time.Second
+	for _, admission := range []string{AdmitOrdered, AdmitFIFO} {
+		x.Admission = admission
+		for name, o := range Run(x).Classes {
+			if o.Asked != o.InTime+o.Late+o.Unserved {
+				t.Errorf("%s, %s: %d asked, %d in time, %d late, %d unserved", admission, name, o.Asked, o.InTime, o.Late, o.Unserved)
+			}
+		}
+	}
+	is.True(x.Admission != "")
+}
+
+// TestOverloadIsServedBetterThanByFIFO plays loads beyond what the servers
+// carry. In each, callers must get more within their objective than from a queue
+// in order of arrival, and the class that ranks higher must not be served less
+// often than the other by more than the platform allows.
+func TestOverloadIsServedBetterThanByFIFO(t *testing.T) {
+	const allowed = 0.05 // by which a higher class may be served less often
+	for _, load := range []float64{1, 1.5, 2} {
+		for seed := range uint64(2) {
+			x := burst(t).With(load)
+			x.Seed, x.Duration = seed, 15*time.Second
+			own := Run(x)
+			x.Admission = AdmitFIFO
+			fifo := Run(x)
+			for _, name := range []string{"lookup", "release"} {
+				if own.Classes[name].InObjective() < fifo.Classes[name].InObjective() {
+					t.Errorf("load %g, seed %d, %s: %.3f in time, %.3f in order of arrival", load, seed, name,
+						own.Classes[name].InObjective(), fifo.Classes[name].InObjective())
+				}
+			}
+			if own.Classes["release"].Served() < own.Classes["lookup"].Served()-allowed {
+				t.Errorf("load %g, seed %d: releases are served less often than lookups", load, seed)
+			}
+		}
+	}
+}
+
+// TestPlacementIsBetterThanRoundRobin plays servers of different speed, a burst
+// and slow servers, at loads that the servers can carry and beyond.
+func TestPlacementIsBetterThanRoundRobin(t *testing.T) {
+	for _, load := range []float64{0.7, 1, 1.5} {
+		for _, other := range []string{PlaceRobin, PlaceLeast} {
+			x := burst(t).With(load)
+			x.Duration = 15 * time.Second
+			own := Run(x).Worth()
+			x.Placement = other
+			if naive := Run(x).Worth(); own < naive {
+				t.Errorf("load %g: worth %.3f, %.3f with %s", load, own, naive, other)
+			}
+		}
+	}
+}
+
+// TestFailingServersAreAvoided has a server fail half of its requests.
+func TestFailingServersAreAvoided(t *testing.T) {
+	is := is.New(t)
+	x := burst(t)
+	x.Events = []Event{{Kind: Fail, At: 0, For: time.Minute, Factor: 0.5, Service: "desk", Share: 0.1}}
+	own := Run(x)
+	x.Placement = PlaceRobin
+	robin := Run(x)
+	is.True(own.Classes["release"].Unserved < robin.Classes["release"].Unserved) // these are not sent twice
+}
+
+func TestParseNamesTheKey(t *testing.T) {
+	const good = `
+seed: 1
+duration: 5s
+data-centres: [a]
+services: [{name: s, servers: 1, slots: 1}]
+classes: [{name: c, service: s, per-second: 1, work: 10ms, deadline: 1s}]
+`
+	is := is.New(t)
+	_, err := Parse([]byte(good), "f.yaml")
+	is.NoErr(err)
+	for from, c := range map[string]struct{ to, names string }{
+		"duration: 5s":       {"duration: long", "duration"},
+		"duration: 5s\n":     {"\n", "duration"},
+		"service: s,":        {"service: other,", "classes[0].service"},
+		"slots: 1":           {"slots: 0", "services[0]"},
+		"work: 10ms":         {"work: 10", "classes[0].work"},
+		"seed: 1":            {"seed: 1\nplacement: best", "placement"},
+		"data-centres: [a]":  {"data-centers: [a]", "data-centers"},
+		"deadline: 1s":       {"deadline: 1s, calls: [{class: x}]", "classes[0].calls"},
+		"seed: 1\nduration:": {"seed: 1\nevents: [{kind: flood}]\nduration:", "events[0].kind"},
+	} {
+		changed := strings.Replace(good, from, c.to, 1)
+		is.True(changed != good)
+		_, err := Parse([]byte(changed), "f.yaml")
+		is.True(gd.Invalid.Is(err))
+		is.True(strings.Contains(gd.Message(err), c.names))
+		is.True(strings.Contains(gd.Message(err), "f.yaml"))
+	}
+}
--- a/internal/load/emulator/world.go
+++ b/internal/load/emulator/world.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	maxTries   = 12                     // nodes that one request is offered to
 	hop        = 200 * time.Microsecond // one way within a data centre, with the work of the nodes
 	expireTick = 50 * time.Millisecond  // between two looks for requests that wait in vain
 	repeatAll  = 10 * time.Second       // window of the retry budget
@@ -62,7 +63,9 @@
 	repeats  int // of the client
 	inner    bool
 	done     func(ok bool)
+	over     bool // done was called
 	search   placement.Search
+	comeBack time.Duration // that the last refusal named
 }
 
 // try is a request at a server.
@@ -177,8 +180,8 @@
 
 func (w *world) next(r *request) {
 	rec, mayWait, ok := r.choose()
-	if !ok {
-		w.refused(r, backoff)
+	if !ok || r.search.Asked() >= maxTries {
+		w.refused(r)
 		return
 	}
 	in, at := r.ingress, w.node(rec.Node)
@@ -258,8 +261,9 @@
 		in.estimates.Unreachable(w.now, n.record)
 	}
 	r.search.WasAsked(n.record.Node, full)
-	if mayWait || w.now >= r.deadline {
-		w.refused(r, comeBack)
+	r.comeBack = max(comeBack, backoff)
+	if w.now >= r.deadline || r.search.Asked() >= maxTries {
+		w.refused(r)
 		return
 	}
 	w.next(r)
@@ -350,8 +354,9 @@
 		r.ingress.estimates.Heard(w.now, n.record.Node, n.load())
 		switch {
 		case w.now > r.deadline:
+			r.end(false)
 		case !t.failed:
-			r.done(true)
+			r.end(true)
 		case r.class.Idempotent && r.ingress.budget.Take(w.now, r.class.Service, len(w.nodes)):
 			r.ingress.estimates.Failed(w.now, n.record.Node)
 			r.search.WasAsked(n.record.Node, false)
@@ -367,21 +372,29 @@
 const smoothing = 0.1
 
 // refused has the client come back, or give up.
-func (w *world) refused(r *request, comeBack time.Duration) {
+func (w *world) refused(r *request) {
 	w.result.refused(r.class.Name)
-	w.clientRetries(r, comeBack, true)
+	w.clientRetries(r, max(r.comeBack, backoff), true)
 }
 
 func (w *world) clientRetries(r *request, pause time.Duration, mayRepeat bool) {
 	pause = min(pause, (r.deadline-w.now)/3)
 	if r.inner || !mayRepeat || r.repeats >= r.class.Retries || pause <= 0 {
-		r.done(false)
+		r.end(false)
 		return
 	}
 	r.repeats++
 	w.after(pause, func() { w.place(r) })
 }
 
+// end settles the request once.
+func (r *request) end(ok bool) {
+	if !r.over {
+		r.over = true
+		r.done(ok)
+	}
+}
+
 // expire ends what can no longer be answered, at every server.
 func (w *world) expire() {
 	for _, n := range w.nodes {
@@ -410,7 +423,7 @@
 			n.queue.Cancel(id)
 			n.queue.Done(n.w.now, id, false)
 			t.r.ingress.ended(n)
-			t.r.done(false)
+			t.r.end(false)
 		}
 	}
 }
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -44,9 +44,6 @@
 		if a.Response != nil && !j.isWorthRepeating(a) || !j.mayGoOn(ctx, a) {
 			break
 		}
-		if mayWait && gd.QueueFull.Is(a.Err) {
-			break // the best of those that have no room has refused it
-		}
 	}
 	return last
 }
