--- /dev/null
+++ b/cmd/geraniumdock/explain.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/story"
+)
+
+type explainCommand struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"yes"`
+		Files []string `positional-arg-name:"FILE"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints what the logs say of a request.
+func (c *explainCommand) Execute([]string) error {
+	var logs []io.Reader
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return gd.Invalid.Wrapf(err, "log")
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	if len(logs) == 0 {
+		logs = append(logs, os.Stdin)
+	}
+	lines, err := story.Of(c.Args.ID, logs...)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return gd.NotFound.Errorf("no line about request %s; of requests that went well only a sample is logged", c.Args.ID)
+	}
+	for _, l := range lines {
+		fmt.Println(l)
+	}
+	return nil
+}
--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -23,8 +23,10 @@
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/demo"
 	"github.com/geraniumdock/geraniumdock/identity"
+	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
 	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/node"
+	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/settings"
 	"github.com/geraniumdock/geraniumdock/table"
 )
@@ -176,6 +178,9 @@
 func (c *checkCommand) check(file string) error {
 	if filepath.Ext(file) != ".csv" && isSettings(file) {
 		_, err := settings.Read(file)
+		if isSidecar(file) {
+			_, err = settings.ReadSidecar(file)
+		}
 		return err
 	}
 	d, err := readDocument(file, table.Sheet(c.Sheet))
@@ -185,6 +190,12 @@
 	return d.Check(file)
 }
 
+// isSidecar tells the settings of a sidecar from those of a node by their keys.
+func isSidecar(file string) bool {
+	data, err := os.ReadFile(file)
+	return err == nil && strings.Contains("\n"+string(data), "\nstore:")
+}
+
 // isSettings tells a settings file from a table file by its keys.
 func isSettings(file string) bool {
 	data, err := os.ReadFile(file)
@@ -223,6 +234,8 @@
 type standInCommand struct {
 	Listen string `long:"listen" value-name:"HOST:PORT" default:"127.0.0.1:9000" description:"address to serve at"`
 	Data   string `long:"data" value-name:"FILE" description:"file to load the objects from and to save them to at the end"`
+	Store  bool   `long:"store" description:"serve the calls of the platform's metadata store, for sidecars"`
+	Policy string `long:"policy" value-name:"FILE" description:"with --store: configuration to begin with, as the operator writes it"`
 }
 
 // Execute serves the stand-in until a signal.
@@ -238,6 +251,11 @@
 		return err
 	}
 	s := &http.Server{Handler: object.NewHandler(m)}
+	if c.Store {
+		if s.Handler, err = c.store(ctx); err != nil {
+			return err
+		}
+	}
 	context.AfterFunc(ctx, func() { s.Close() })
 	fmt.Fprintf(os.Stderr, "stand-in for the platform at http://%s, in memory\n", l.Addr())
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -246,6 +264,24 @@
 	return c.save(m)
 }
 
+// store returns the handler of a stand-in of the metadata store.
+func (c *standInCommand) store(ctx context.Context) (http.Handler, error) {
+	store := catalogue.New(0, 0, uint64(clock.System{}.Now()))
+	if c.Policy != "" {
+		data, err := os.ReadFile(c.Policy)
+		if err != nil {
+			return nil, gd.Invalid.Wrapf(err, "--policy")
+		}
+		if _, err := platform.DecodePolicy(data); err != nil {
+			return nil, gd.Invalid.Errorf("%s: %s", c.Policy, gd.Message(err))
+		}
+		if _, err := store.Put(ctx, "operator", platform.ConfigKind, platform.ConfigName, data, nil, 0, true); err != nil {
+			return nil, err
+		}
+	}
+	return platform.NewStoreHandler(store), nil
+}
+
 func (c *standInCommand) load(m *object.Memory) error {
 	if c.Data == "" {
 		return nil
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -213,7 +213,7 @@
 func (s *Sidecar) Start() {
 	root := suture.New("sidecar", suture.Spec{EventHook: func(e suture.Event) {
 		if e.Type() == suture.EventTypeServicePanic || e.Type() == suture.EventTypeServiceTerminate {
-			s.cfg.Log.Error("service-ended", "event", e.String())
+			s.cfg.Log.Error(event.ServiceEnded, "event", e.String())
 		}
 	}})
 	root.Add(service{"roster", s.roster.Run})
@@ -231,7 +231,7 @@
 	go func() {
 		defer close(s.done)
 		if err := root.Serve(s.ctx); err != nil && s.ctx.Err() == nil {
-			s.cfg.Log.Error("service-ended", "error", err)
+			s.cfg.Log.Error(event.ServiceEnded, "error", err)
 		}
 	}()
 	st := s.cfg.Settings
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -4,13 +4,12 @@
 
 // Lines about the process.
 const (
-	Started  = "started"
-	Stopping = "stopping"
-	Stopped  = "stopped"
-	Reloaded = "reloaded"
-	Dropped  = "lines-dropped"
-	Ready    = "ready"
-	NotReady = "not-ready"
+	Started      = "started"
+	Stopping     = "stopping"
+	Stopped      = "stopped"
+	Reloaded     = "reloaded"
+	Dropped      = "lines-dropped"
+	ServiceEnded = "service-ended"
 )
 
 // Lines about what the process believes.
@@ -35,7 +34,6 @@
 // Lines about a request.
 const (
 	RequestEnded      = "request-ended"
-	RequestPlaced     = "request-placed"
 	RequestRefused    = "request-refused" // by the node beside a server
 	RequestServed     = "request-served"  // by a server
 	ConnectionRefused = "connection-refused"
--- /dev/null
+++ b/internal/telemetry/story/story.go
@@ -0,0 +1,76 @@
+// Package story finds the lines about one request in the logs of several
+// processes and puts them in order.
+package story
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+// maxLine is the longest line that is read, in bytes.
+const maxLine = 1 << 20
+
+// Keys of every line.
+const (
+	timeKey    = "@timestamp"
+	messageKey = "@message"
+	moduleKey  = "@module"
+	levelKey   = "@level"
+)
+
+// Of returns the lines about the request with the given id, in order of time,
+// each as time, process, event and fields. Text before a line, such as another
+// program's time, is passed over, and so are lines that are not JSON.
+func Of(id string, logs ...io.Reader) ([]string, error) {
+	type line struct{ at, text string }
+	var lines []line
+	for _, l := range logs {
+		s := bufio.NewScanner(l)
+		s.Buffer(nil, maxLine)
+		for s.Scan() {
+			fields, ok := parse(s.Text())
+			if ok && fields["id"] == id {
+				lines = append(lines, line{fmt.Sprint(fields[timeKey]), render(fields)})
+			}
+		}
+		if err := s.Err(); err != nil {
+			return nil, gd.Invalid.Wrapf(err, "log")
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(a.at, b.at) })
+	texts := make([]string, 0, len(lines))
+	for _, l := range lines {
+		texts = append(texts, l.text)
+	}
+	return texts, nil
+}
+
+func parse(text string) (map[string]any, bool) {
+	_, after, found := strings.Cut(text, "{")
+	var fields map[string]any
+	if !found || json.Unmarshal([]byte("{"+after), &fields) != nil {
+		return nil, false
+	}
+	return fields, true
+}
+
+func render(fields map[string]any) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v %v %v", fields[timeKey], fields[moduleKey], fields[messageKey])
+	for _, key := range slices.Sorted(maps.Keys(fields)) {
+		switch key {
+		case timeKey, messageKey, moduleKey, levelKey, "id":
+		default:
+			fmt.Fprintf(&b, " %s=%v", key, fields[key])
+		}
+	}
+	return b.String()
+}
--- a/table/sheet.go
+++ b/table/sheet.go
@@ -29,6 +29,9 @@
 
 const versionComment = "# version: "
 
+// byteOrderMark is what spreadsheets begin a file with.
+const byteOrderMark = "\ufeff"
+
 // nameColumns are the columns that make up the name of a row.
 func nameColumns(s Sheet) []string {
 	switch s {
@@ -47,8 +50,9 @@
 	if err != nil {
 		return Document{}, gd.Invalid.Wrapf(err, "%s", file)
 	}
-	d := Document{Sheets: []Sheet{s}, Version: commentedVersion(string(data))}
-	c := csv.NewReader(strings.NewReader(string(data)))
+	text := strings.TrimPrefix(string(data), byteOrderMark)
+	d := Document{Sheets: []Sheet{s}, Version: commentedVersion(text)}
+	c := csv.NewReader(strings.NewReader(text))
 	c.Comment = '#'
 	c.TrimLeadingSpace = true
 	header, err := c.Read()
@@ -79,7 +83,8 @@
 func commentedVersion(text string) uint64 {
 	for line := range strings.Lines(text) {
 		if rest, ok := strings.CutPrefix(line, versionComment); ok {
-			if v, err := strconv.ParseUint(strings.TrimSpace(rest), 10, 64); err == nil {
+			// A spreadsheet fills the line up with empty cells.
+			if v, err := strconv.ParseUint(strings.TrimRight(rest, ", \r\n"), 10, 64); err == nil {
 				return v
 			}
 		}
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -387,3 +387,16 @@
 	fmt.Println(t.Version(), p.Services["tags"].Rows["app"].Weight, err)
 	// Output: 1 3 <nil>
 }
+
+// TestSpreadsheetFile reads what a spreadsheet made of a sheet: a byte order
+// mark, lines filled up with empty cells, and CR LF.
+func TestSpreadsheetFile(t *testing.T) {
+	is := is.New(t)
+	const saved = "\ufeff# version: 3,,,\r\ncaller,service,weight,timeout\r\na,s,1,10s\r\nb,s,2,\r\n"
+	d, err := ReadCSV(strings.NewReader(saved), "sheet.csv", Rows)
+	is.NoErr(err)
+	plain, err := ReadCSV(strings.NewReader(soundCSV), "sheet.csv", Rows)
+	is.NoErr(err)
+	is.Equal(d, plain)
+	is.Equal(d.Version, uint64(3))
+}
