--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -37,6 +37,10 @@
 	maxUnreachable = 8 * time.Second
 )
 
+// LargeBody is the size from which the time that a body takes on the links of
+// VMs counts, in bytes.
+const LargeBody = 8 << 10
+
 // Load is what a node says of the server beside it.
 type Load struct {
 	Running int
@@ -46,6 +50,7 @@
 	Wait    time.Duration // expected by a request that comes now
 	Cold    time.Duration // how much longer the server is slow after its start
 	Failing float64       // share of the last requests that it failed
+	Link    time.Duration // until the large bodies that are on their way have arrived
 }
 
 // Estimates hold what one node knows of the servers it sends requests to. The
@@ -184,6 +189,9 @@
 	if e.distance(r) > 0 {
 		cost += e.farCost(class)
 	}
+	if e.bytes[class] > LargeBody && r.Node != e.node {
+		cost += n.load.Link
+	}
 	return cost + time.Duration(jitter*e.rnd.Float64()*float64(mean))
 }
 
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -14,7 +14,7 @@
 	// gossipEvery is the pause between two exchanges that a node begins. With
 	// it a version reaches nodes that the store turns away within about 2 s.
 	gossipEvery     = 500 * time.Millisecond
-	exchangeTimeout = 700 * time.Millisecond
+	exchangeTimeout = 1500 * time.Millisecond
 	maxPushes       = 32 // pushes of one node that are under way
 )
 
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -75,6 +75,7 @@
 	g.mu.Unlock()
 	var a request.Answer
 	if rec.Node == g.cfg.Node {
+		r.Local = true
 		a = g.cfg.Station.Do(ctx, r)
 	} else {
 		a = g.cfg.Peers.Do(ctx, rec.Address, r)
--- a/internal/proxy/peer/client.go
+++ b/internal/proxy/peer/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
 	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
@@ -24,6 +25,8 @@
 const (
 	dialTimeout = 200 * time.Millisecond
 	idleTimeout = 60 * time.Second
+	// continueTimeout is beyond all deadlines.
+	continueTimeout = time.Hour
 	// userTimeout ends a connection on which nothing was acknowledged, for a
 	// node without power or behind a cut does not answer at all.
 	userTimeout  = 1500 * time.Millisecond
@@ -31,6 +34,8 @@
 	probeEvery   = time.Second
 	probeCount   = 2
 	streamBuffer = 256 << 10 // bytes of a body that a node receives ahead
+	thinBuffer   = 32 << 10  // the same on a thin link, where they would hold up other requests
+	thinMbps     = 20        // links up to this are thin
 	connBuffer   = 1 << 20
 	maxMessage   = 16 << 20 // bytes of a message between rosters
 )
@@ -40,15 +45,28 @@
 	transport *http.Transport
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
+// IsThin reports whether a link of so many Mbit/s is thin. One of 0 is unknown.
+func IsThin(mbps float64) bool { return mbps > 0 && mbps <= thinMbps }
+
+func streamBufferOf(mbps float64) int {
+	if IsThin(mbps) {
+		return thinBuffer
+	}
+	return streamBuffer
+}
+
+// NewClient returns a client without connections, on a VM whose link has the
+// given bandwidth.
+func NewClient(mbps float64) *Client {
 	return &Client{transport: &http.Transport{
 		Protocols:          cleartext(),
 		DialContext:        Dialer(dialTimeout).DialContext,
 		DisableCompression: true,
-		IdleConnTimeout:    idleTimeout,
+		// The body is not sent before the node asks for it.
+		ExpectContinueTimeout: continueTimeout,
+		IdleConnTimeout:       idleTimeout,
 		HTTP2: &http.HTTP2Config{
-			MaxReceiveBufferPerStream:     streamBuffer,
+			MaxReceiveBufferPerStream:     streamBufferOf(mbps),
 			MaxReceiveBufferPerConnection: connBuffer,
 		},
 	}}
@@ -91,6 +109,9 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // keeps the client from adding one
 	}
+	if r.ContentLength < 0 || r.ContentLength > placement.LargeBody {
+		h.Set("Expect", "100-continue") // the node may refuse the request before its body is sent
+	}
 	req := (&http.Request{
 		Method:        r.Method,
 		URL:           &url.URL{Scheme: "http", Host: address, Path: requestPath},
--- a/internal/proxy/peer/handler.go
+++ b/internal/proxy/peer/handler.go
@@ -38,8 +38,8 @@
 }
 
 // NewServer returns a server that passes requests to station and messages to
-// members.
-func NewServer(station Station, members Roster, log hclog.Logger) *Server {
+// members, on a VM whose link has the given bandwidth.
+func NewServer(station Station, members Roster, mbps float64, log hclog.Logger) *Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc(requestPath, func(w http.ResponseWriter, r *http.Request) { serveRequest(station, w, r) })
 	mux.HandleFunc(exchangePath, func(w http.ResponseWriter, r *http.Request) { serveExchange(members, w, r) })
@@ -49,7 +49,7 @@
 		ErrorLog:  log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          maxStreams,
-			MaxReceiveBufferPerStream:     streamBuffer,
+			MaxReceiveBufferPerStream:     streamBufferOf(mbps),
 			MaxReceiveBufferPerConnection: connBuffer,
 		},
 	}}
--- a/internal/proxy/peer/header.go
+++ b/internal/proxy/peer/header.go
@@ -96,11 +96,12 @@
 	return strings.Join([]string{
 		strconv.Itoa(l.Running), strconv.Itoa(l.Waiting), strconv.Itoa(l.Slots),
 		strconv.FormatInt(l.Mean.Microseconds(), 10), strconv.FormatInt(l.Wait.Microseconds(), 10),
-		strconv.FormatInt(l.Cold.Milliseconds(), 10), strconv.FormatFloat(l.Failing, 'f', 3, 64),
+		strconv.FormatInt(l.Cold.Milliseconds(), 10), strconv.FormatInt(l.Link.Milliseconds(), 10),
+		strconv.FormatFloat(l.Failing, 'f', 3, 64),
 	}, " ")
 }
 
-const loadFields = 7
+const loadFields = 8
 
 // decodeLoad reads a load. It reports false for one that cannot be read.
 func decodeLoad(text string) (placement.Load, bool) {
@@ -123,7 +124,7 @@
 	return placement.Load{
 		Running: int(n[0]), Waiting: int(n[1]), Slots: int(n[2]),
 		Mean: time.Duration(n[3]) * time.Microsecond, Wait: time.Duration(n[4]) * time.Microsecond,
-		Cold: time.Duration(n[5]) * time.Millisecond, Failing: failing,
+		Cold: time.Duration(n[5]) * time.Millisecond, Link: time.Duration(n[6]) * time.Millisecond, Failing: failing,
 	}, true
 }
 
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -80,7 +80,7 @@
 
 // New opens the node's addresses. Start makes it serve.
 func New(cfg Config) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, client: peer.NewClient(), listeners: map[string]net.Listener{}, done: make(chan struct{})}
+	s := &Sidecar{cfg: cfg, client: peer.NewClient(cfg.Settings.LinkMbps), listeners: map[string]net.Listener{}, done: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if err := s.listen(); err != nil {
 		s.closeListeners()
@@ -105,7 +105,7 @@
 		OnAdoption: func(r server.Record) { s.station.Adopt(r) },
 	})
 	s.station = station.New(station.Config{
-		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.Drain(),
+		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.Drain(), LinkMbps: st.LinkMbps,
 		Clock: cfg.Clock, Log: cfg.Log,
 		Announce: func(r server.Record) { go s.roster.Announce(s.ctx, r) },
 		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
@@ -129,7 +129,7 @@
 		},
 	})
 	s.clients = listener.New(s.ingress, refusals{cfg.Log}, s.limits, spoolBytes)
-	s.peers = peer.NewServer(s.station, s.roster, cfg.Log)
+	s.peers = peer.NewServer(s.station, s.roster, st.LinkMbps, cfg.Log)
 	s.gauges()
 	return s, nil
 }
--- /dev/null
+++ b/internal/proxy/station/link_test.go
@@ -0,0 +1,73 @@
+package station
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func bodyOf(n int) io.ReadCloser { return io.NopCloser(strings.NewReader(strings.Repeat("x", n))) }
+
+// TestLargeBodiesTakeTurns has a second body wait until the first has arrived or
+// was given up.
+func TestLargeBodiesTakeTurns(t *testing.T) {
+	const size = 100_000
+	for name, finish := range map[string]func(io.ReadCloser) error{
+		"arrived":  func(b io.ReadCloser) error { _, err := io.Copy(io.Discard, b); return err },
+		"given up": func(b io.ReadCloser) error { return b.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLink(5)
+			first, second := l.take(bodyOf(size), size, nil), l.take(bodyOf(size), size, nil)
+			is.Equal(l.busyFor(), 320*time.Millisecond) // 200,000 bytes at 5 Mbit/s
+			_, err := first.Read(make([]byte, 1))
+			is.NoErr(err)
+			begun := make(chan error, 1)
+			go func() {
+				_, err := io.Copy(io.Discard, second)
+				begun <- err
+			}()
+			select {
+			case <-begun:
+				t.Fatal("the second body did not wait")
+			case <-time.After(5 * time.Millisecond):
+			}
+			is.NoErr(finish(first))
+			is.NoErr(<-begun)
+			is.NoErr(second.Close())
+			is.Equal(l.busyFor(), time.Duration(0))
+		})
+	}
+}
+
+// TestRequestThatEndsGivesUpItsTurn while its body waits.
+func TestRequestThatEndsGivesUpItsTurn(t *testing.T) {
+	is := is.New(t)
+	l := newLink(5)
+	first := l.take(bodyOf(50_000), 50_000, nil)
+	_, err := first.Read(make([]byte, 1))
+	is.NoErr(err)
+	done := make(chan struct{})
+	close(done)
+	second := l.take(bodyOf(50_000), 50_000, done)
+	_, err = second.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.NoErr(second.Close())
+	is.NoErr(first.Close())
+	is.Equal(l.busyFor(), time.Duration(0))
+	third := l.take(bodyOf(50_000), 50_000, nil)
+	_, err = io.Copy(io.Discard, third)
+	is.NoErr(err)
+}
+
+func TestSmallBodiesDoNotWait(t *testing.T) {
+	is := is.New(t)
+	l := newLink(5)
+	small := bodyOf(100)
+	is.Equal(l.take(small, 100, nil), small)
+	is.Equal(l.busyFor(), time.Duration(0))
+}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -193,6 +193,13 @@
 // or when the body of the response is closed.
 func (s *Station) exchange(ctx context.Context, id uint64, r request.Request) request.Answer {
 	req := s.outgoing(ctx, r)
+	if req.Body != nil {
+		defer func() {
+			if _, isLarge := req.Body.(*arriving); isLarge {
+				req.Body.Close() // gives its turn to the next, also after an early answer
+			}
+		}()
+	}
 	result := s.pool.Do(ctx, pool.Request{Request: req, Target: r.Target, ID: r.ID, Idempotent: r.Idempotent})
 	if result.Err != nil {
 		s.broken(ctx, id, result)
@@ -267,7 +274,11 @@
 	platform.SetDeadline(h, left)
 	platform.SetCaller(h, r.Caller)
 	platform.SetExpected(h, s.instance())
-	return &http.Request{Method: r.Method, Host: r.Host, Header: h, Body: r.Body, ContentLength: r.ContentLength}
+	body := r.Body
+	if !r.Local {
+		body = s.link.take(body, r.ContentLength, ctx.Done())
+	}
+	return &http.Request{Method: r.Method, Host: r.Host, Header: h, Body: body, ContentLength: r.ContentLength}
 }
 
 // outcome counts whether the server served a request.
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -39,6 +39,7 @@
 	Node     string
 	Address  string        // of the backend server
 	Service  string        // that the settings name for the server
+	LinkMbps float64       // of the VM, 0 if it is not known
 	Drain    time.Duration // longest time from the notice of a leave to the last request
 	Clock    gd.Clock
 	Log      hclog.Logger
@@ -59,6 +60,7 @@
 type Station struct {
 	cfg  Config
 	pool *pool.Pool
+	link *link
 
 	mu       sync.Mutex
 	queue    *admission.Queue
@@ -82,6 +84,7 @@
 	return &Station{
 		cfg:     cfg,
 		pool:    pool.New(cfg.Address, platform.RequestID),
+		link:    newLink(cfg.LinkMbps),
 		queue:   admission.New(1),
 		state:   server.Lost,
 		waiting: map[uint64]chan error{},
@@ -232,6 +235,7 @@
 		Wait:    s.queue.Wait(),
 		Cold:    max(0, s.coldTill-s.now()),
 		Failing: s.failing,
+		Link:    s.link.busyFor(),
 	}
 }
 
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -23,6 +23,7 @@
 	Store      SidecarStore      `yaml:"store"`
 	Bounds     SidecarBounds     `yaml:"bounds"`
 	MemoryMB   int               `yaml:"memory-mb"`
+	LinkMbps   float64           `yaml:"link-mbps"` // of the VM, 0 if it is not known
 	Log        Log               `yaml:"log"`
 	Regions    map[string]string `yaml:"regions"` // region of each data centre
 }
@@ -168,6 +169,8 @@
 		}
 	}
 	switch {
+	case s.LinkMbps < 0:
+		return "link-mbps", fmt.Sprintf("%g is below 0", s.LinkMbps)
 	case s.MemoryMB < 0:
 		return "memory-mb", fmt.Sprintf("%d is below 0", s.MemoryMB)
 	case s.Store.HistorySeconds < 0:
