A node that stops does not wait for silent peers or late connections

Messages to other nodes ran on for 1.5 s after the end, and a connection that came while the listener closed was waited for. A test showed the first: the message ended with its time limit and not with the roster.

--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -138,7 +138,7 @@
 		} else if rec, ok := s.directory.Record(m.Node); ok && m.Push && s.asking < m.Version {
 			s.asking = m.Version
 			question := s.digests()
-			s.r.tasks.Go(func() { s.r.exchange(context.Background(), rec.Address, question) })
+			s.r.tasks.Go(func() { s.r.exchange(s.ctx, rec.Address, question) })
 		}
 	}
 	s.merge(m.Records, m.Node)
@@ -186,16 +186,20 @@
 	m.Node, m.Push = s.r.cfg.Self.Node, true
 	for _, rec := range records {
 		if rec.Node != s.r.cfg.Self.Node {
-			s.r.tasks.Go(func() { s.r.tell(rec.Address, m) })
+			s.r.tasks.Go(func() { s.r.tell(s.ctx, rec.Address, m) })
 		}
 	}
 }
 
 // tell pushes a message to one node.
-func (r *Roster) tell(address string, m Message) {
-	r.pushing <- struct{}{}
+func (r *Roster) tell(ctx context.Context, address string, m Message) {
+	select {
+	case r.pushing <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
 	defer func() { <-r.pushing }()
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	if _, err := r.cfg.Exchanger.Exchange(ctx, address, m); err != nil {
 		r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -79,6 +79,7 @@
 // state is owned by the control goroutine.
 type state struct {
 	r         *Roster
+	ctx       context.Context // ends with Run, and with it what is under way to other nodes
 	policy    *route.Policy
 	raw       []byte // the policy as the catalogue holds it
 	directory server.Directory
@@ -125,6 +126,7 @@
 	loops.Go(func() { r.gossip(ctx) })
 	s := &state{
 		r:       r,
+		ctx:     ctx,
 		changed: map[string]time.Duration{},
 		missing: map[string]time.Duration{},
 		heard:   map[string]time.Duration{},
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,203 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// closed is a catalogue that cannot be reached.
+type closed struct{}
+
+var errClosed = gd.Unavailable.Errorf("the catalogue cannot be reached")
+
+func (closed) Get(context.Context, string, string) (gd.Entry, error) { return gd.Entry{}, errClosed }
+func (closed) List(context.Context, string) ([]gd.Entry, uint64, error) {
+	return nil, 0, errClosed
+}
+func (closed) Watch(context.Context, string, uint64, time.Duration) ([]gd.Entry, uint64, error) {
+	return nil, 0, errClosed
+}
+func (closed) Put(context.Context, string, string, []byte, uint64) (gd.Entry, error) {
+	return gd.Entry{}, errClosed
+}
+func (closed) Delete(context.Context, string, string, uint64) error { return errClosed }
+
+// silent is an exchanger whose peers never answer.
+type silent struct {
+	begun chan struct{}
+	once  sync.Once
+	mu    sync.Mutex
+	errs  []error
+}
+
+func (s *silent) Exchange(ctx context.Context, _ string, _ Message) (Message, error) {
+	s.once.Do(func() { close(s.begun) })
+	<-ctx.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errs = append(s.errs, ctx.Err())
+	return Message{}, ctx.Err()
+}
+
+// decodeNumber reads a policy that is its version in digits.
+func decodeNumber(data []byte) (*route.Policy, error) {
+	version, err := strconv.ParseUint(string(data), 10, 64)
+	if err != nil {
+		return nil, gd.Invalid.Wrapf(err, "version")
+	}
+	return &route.Policy{Version: version}, nil
+}
+
+// run starts a roster and returns it with a function that ends it.
+func run(x Exchanger) (*Roster, func()) {
+	r := New(Config{
+		Self:      server.Record{Node: "own", Address: "own:1", Service: "shop", Incarnation: 5},
+		Catalogue: closed{}, Policies: "config", Policy: "main", Servers: "servers",
+		Decode: decodeNumber, Exchanger: x, Clock: clock.System{}, Log: hclog.NewNullLogger(), Seed: 1,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.Run(ctx) }()
+	return r, func() { cancel(); <-done }
+}
+
+func tell(r *Roster, m Message) Message { return r.Answer(context.Background(), m) }
+
+func policy(version uint64) Message {
+	return Message{Node: "peer", Version: version, Policy: pack([]byte(strconv.FormatUint(version, 10)))}
+}
+
+func TestVersionsOnlyGoUp(t *testing.T) {
+	is := is.New(t)
+	r, stop := run(&silent{begun: make(chan struct{})})
+	defer stop()
+	for _, step := range []struct{ told, inForce uint64 }{{3, 3}, {2, 3}, {7, 7}, {7, 7}, {1, 7}} {
+		a := tell(r, policy(step.told))
+		is.Equal(r.Snapshot().Policy.Version, step.inForce)
+		is.Equal(a.Version, step.inForce)
+		is.Equal(a.Policy != nil, step.told < step.inForce) // the peer is given what it lacks
+	}
+}
+
+func TestDamagedPolicyIsRefused(t *testing.T) {
+	is := is.New(t)
+	r, stop := run(&silent{begun: make(chan struct{})})
+	defer stop()
+	tell(r, policy(3))
+	tell(r, Message{Node: "peer", Version: 9, Policy: []byte("not compressed")})
+	tell(r, Message{Node: "peer", Version: 9, Policy: pack([]byte("no number"))})
+	is.Equal(r.Snapshot().Policy.Version, uint64(3))
+	for damaged := range mutate.Copies(pack([]byte("4")), 200) {
+		_, _ = unpack(damaged)
+	}
+}
+
+// TestOwnRecordIsRefuted has a peer hold a record of this node that an earlier
+// process wrote with a clock that was ahead.
+func TestOwnRecordIsRefuted(t *testing.T) {
+	is := is.New(t)
+	r, stop := run(&silent{begun: make(chan struct{})})
+	defer stop()
+	r.Announce(context.Background(), server.Record{Service: "shop", Instance: "new", Slots: 2})
+	old := server.Record{Node: "own", Address: "own:1", Service: "shop", Instance: "old", Incarnation: 99, State: server.Gone}
+	tell(r, Message{Node: "peer", Records: []server.Record{old}})
+	a := tell(r, Message{Node: "peer"})
+	is.Equal(len(a.Records), 1)
+	is.Equal(a.Records[0].Instance, "new")
+	is.True(a.Records[0].Compare(old) > 0)
+	is.Equal(len(r.Snapshot().Serving["shop"]), 1)
+}
+
+// TestRecordOfAnEarlierProcessIsAdopted only where it names this address.
+func TestRecordOfAnEarlierProcessIsAdopted(t *testing.T) {
+	is := is.New(t)
+	adopted := make(chan server.Record, 2)
+	r := New(Config{
+		Self:      server.Record{Node: "own", Address: "own:1"},
+		Catalogue: closed{}, Decode: decodeNumber, Exchanger: &silent{begun: make(chan struct{})},
+		Clock: clock.System{}, Log: hclog.NewNullLogger(), Seed: 1,
+		OnAdoption: func(rec server.Record) { adopted <- rec },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	tell(r, Message{Node: "peer", Records: []server.Record{
+		{Node: "own", Address: "elsewhere:1", Service: "shop", Instance: "moved", Incarnation: 1},
+		{Node: "own", Address: "own:1", Service: "shop", Instance: "here", Incarnation: 2},
+	}})
+	is.Equal((<-adopted).Instance, "here")
+	is.Equal(len(adopted), 0)
+}
+
+// TestStopDoesNotWaitForSilentPeers ends a roster while a message to a peer is
+// under way: it is cut, and its time limit is not waited for.
+func TestStopDoesNotWaitForSilentPeers(t *testing.T) {
+	is := is.New(t)
+	x := &silent{begun: make(chan struct{})}
+	r, stop := run(x)
+	tell(r, Message{Node: "peer", Records: []server.Record{{Node: "peer", Address: "peer:1", Service: "shop", Incarnation: 1}}})
+	r.Announce(context.Background(), server.Record{Service: "shop", Slots: 1}) // pushed to the peer
+	<-x.begun
+	stop()
+	is.True(len(x.errs) > 0)
+	for _, err := range x.errs {
+		is.True(errors.Is(err, context.Canceled))
+	}
+}
+
+// TestForgottenNodeIsNotBroughtBackByOthers has a peer tell of a node that was
+// forgotten, and then the node itself.
+func TestForgottenNodeIsNotBroughtBackByOthers(t *testing.T) {
+	is := is.New(t)
+	gone := server.Record{Node: "gone", Address: "gone:1", Service: "shop", Incarnation: 1}
+	s := &state{
+		r:       New(Config{Self: server.Record{Node: "own"}, Clock: &clock.Fake{}, Log: hclog.NewNullLogger()}),
+		changed: map[string]time.Duration{}, missing: map[string]time.Duration{},
+		heard: map[string]time.Duration{}, buried: map[string]server.Record{"gone": gone},
+	}
+	is.Equal(len(s.merge([]server.Record{gone}, "peer")), 0)
+	is.Equal(len(s.merge([]server.Record{gone}, "gone")), 1)
+	newer := gone
+	newer.Incarnation = 2
+	is.Equal(len(s.merge([]server.Record{newer}, "peer")), 1)
+}
+
+// TestMissingServerIsForgotten follows a server whose entry is gone: it stays
+// while it is heard, and for a while after.
+func TestMissingServerIsForgotten(t *testing.T) {
+	is := is.New(t)
+	clk := &clock.Fake{}
+	clk.Advance(time.Minute)
+	s := &state{
+		r:       New(Config{Self: server.Record{Node: "own"}, Clock: clk, Log: hclog.NewNullLogger()}),
+		changed: map[string]time.Duration{}, missing: map[string]time.Duration{},
+		heard: map[string]time.Duration{}, buried: map[string]server.Record{},
+	}
+	s.merge([]server.Record{{Node: "peer", Address: "peer:1", Service: "shop", Incarnation: 1}}, "peer")
+	clk.Advance(missingFor)
+	s.heard["peer"] = clk.Monotonic()
+	s.missUnlisted(map[string]bool{})
+	clk.Advance(missingFor)
+	s.expire()
+	is.Equal(s.directory.Len(), 1) // it was heard 2.5 s ago
+	clk.Advance(heardWithin)
+	s.expire()
+	is.Equal(s.directory.Len(), 0)
+}
--- a/internal/http1/listener/listener.go
+++ b/internal/http1/listener/listener.go
@@ -7,8 +7,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,8 +79,8 @@
 		c := newConn(s, nc)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
-		s.mu.Unlock()
 		s.ended.Go(c.serve)
+		s.mu.Unlock()
 	}
 }
 
@@ -120,15 +122,14 @@
 	s.mu.Lock()
 	s.draining = true
 	l := s.listener
-	conns := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
 	s.mu.Unlock()
 	var err error
 	if l != nil {
-		err = l.Close()
+		err = l.Close() // first, so that no connection is missed below
 	}
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
 	for _, c := range conns {
 		c.closeIfIdle()
 	}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -40,7 +40,7 @@
 	// here: it asks for readiness once a second and believes the second miss.
 	noticeTime = 2500 * time.Millisecond
 	// stopMargin is how long before the platform kills the process it ends.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 500 * time.Millisecond
 	stopTick   = 50 * time.Millisecond
 	// repeatShare is the part of the platform's retry ratio that a node spends
 	// itself. The calls of a request that runs a second time count as repeats,
