Large bodies arrive before their requests take a slot; searches of a slot end

Cause: on the grown Vltava site uploads held slots of the artwork servers while they waited for the link, so that calls found none and the lookups that made them held theirs for 550 to 760 ms in place of 220; and twelve refusals took up to 0.9 s on 0.16 of a core.

--- a/internal/call/placement/placement_test.go
+++ b/internal/call/placement/placement_test.go
@@ -197,3 +197,24 @@
 	fmt.Println(rec.Node, mayWait)
 	// Output: node-2 false
 }
+
+// TestSearchThatEnds asks two of the nodes that had no slot to have the request
+// wait, and then no other.
+func TestSearchThatEnds(t *testing.T) {
+	is := is.New(t)
+	e, serving := estimates(), records(10, "a")
+	var s Search
+	for range 4 {
+		rec, mayWait, ok := e.Next(0, "read", serving, &s)
+		is.True(ok && !mayWait)
+		s.WasAsked(rec.Node, true)
+	}
+	s.End()
+	for range maxWaits {
+		rec, mayWait, ok := e.Next(0, "read", serving, &s)
+		is.True(ok && mayWait)
+		s.WasAsked(rec.Node, true)
+	}
+	_, _, ok := e.Next(0, "read", serving, &s)
+	is.True(!ok)
+}
--- a/internal/call/placement/search.go
+++ b/internal/call/placement/search.go
@@ -12,20 +12,34 @@
 // not tell which slot is free.
 const probes = 8
 
+// maxWaits is how many nodes are asked to have a request wait once its search
+// has taken its time.
+const maxWaits = 2
+
 // Search is the way of one request from node to node. The zero value has not
 // begun.
 type Search struct {
 	asked []string
 	full  []string // of these, those that had no free slot and were not asked to have the request wait
+	ended bool     // no free slot is looked for any more
+	waits int      // nodes that would not have the request wait after that
 }
 
+// End has the request wait at a node that was asked already, for the search has
+// taken its time.
+func (s *Search) End() { s.ended = true }
+
 // Asked returns how many times a node was asked.
 func (s *Search) Asked() int { return len(s.asked) }
 
 // WasAsked notes that a node was asked, and whether it had no free slot. A node
 // that would not have the request wait is not asked again.
 func (s *Search) WasAsked(node string, isFull bool) {
-	if again := slices.Contains(s.asked, node); again || !isFull {
+	again := slices.Contains(s.asked, node)
+	if again && s.ended {
+		s.waits++
+	}
+	if again || !isFull {
 		s.full = slices.DeleteFunc(s.full, func(n string) bool { return n == node })
 	} else {
 		s.full = append(s.full, node)
@@ -45,7 +59,10 @@
 		}
 	}
 	waiting, _, canWait := e.Choose(now, class, full, nil)
-	if len(s.asked) < probes {
+	if s.ended && s.waits >= maxWaits {
+		return rec, false, false
+	}
+	if len(s.asked) < probes && !(s.ended && canWait) {
 		probed, _, canProbe := e.Choose(now, class, serving, s.asked)
 		isNearer := canWait && e.distance(waiting) < e.distance(probed)
 		if canProbe && !(isNearer && e.Wait(waiting.Node) < e.farCost(class)) {
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -14,6 +14,11 @@
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
+// searchShare is the share of the time to its objective that a request may
+// spend on the search of a free slot. On small processors a node takes 20 ms to
+// ask another.
+const searchShare = 0.1
+
 // maxTries bounds the nodes that one request is offered to.
 const maxTries = 12
 
@@ -60,6 +65,9 @@
 		g.directory = j.snapshot.Directory.Generation()
 		g.estimates.Retain(func(node string) bool { _, ok := j.snapshot.Directory.Record(node); return ok })
 	}
+	if now-j.began > time.Duration(searchShare*float64(j.objective-j.began)) {
+		j.search.End()
+	}
 	return g.estimates.Next(now, j.route.Name, serving, &j.search)
 }
 
--- a/internal/proxy/sidecar/request_test.go
+++ b/internal/proxy/sidecar/request_test.go
@@ -1,8 +1,11 @@
 package sidecar_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -241,3 +244,29 @@
 	is.True(arrivals-n <= 12+n/5) // the platform's bound: slack and ratio
 	is.True(arrivals > n)         // some were sent once more
 }
+
+// TestLargeBodyTakesNoSlotWhileItArrives sends half of an upload to a server
+// with one slot beside another node. Until the rest comes the slot serves others.
+func TestLargeBodyTakesNoSlotWhileItArrives(t *testing.T) {
+	is := is.New(t)
+	nodes := []fleet.Node{{DataCentre: "a", Service: "other"}, {DataCentre: "a", Service: "shop"}}
+	f := start(t, fleet.Spec{Nodes: nodes, Slots: 1, LinkMbps: 5})
+	conn, err := net.Dial("tcp", f.VMs[0].Sidecar.Address("clients"))
+	is.NoErr(err)
+	defer conn.Close()
+	const size = 100_000
+	half := strings.Repeat("x", size/2)
+	fmt.Fprintf(conn, "POST /orders/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: up\r\nContent-Length: %d\r\n\r\n%s", fleet.Host, size, half)
+	for i := range 5 {
+		a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: fmt.Sprint("r-", i)})
+		is.Equal(a.Status, http.StatusOK)
+	}
+	is.Equal(runs(f, "up"), 0)
+	_, err = io.WriteString(conn, half)
+	is.NoErr(err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer res.Body.Close()
+	is.Equal(res.StatusCode, http.StatusOK)
+	is.Equal(runs(f, "up"), 1)
+}
--- a/internal/proxy/station/link.go
+++ b/internal/proxy/station/link.go
@@ -51,12 +51,14 @@
 	l.bytes += n
 }
 
-// take returns the body to read in place of a request's. Reading a large one
-// waits for its turn; done ends that when the request does.
+// isLarge reports whether a body of the given length, or -1, takes a turn.
+func (l *link) isLarge(body io.ReadCloser, length int64) bool {
+	return body != nil && (length < 0 || length > placement.LargeBody)
+}
+
+// take returns the body to read in place of a large one, which waits for its
+// turn; done ends that when the request does.
 func (l *link) take(body io.ReadCloser, length int64, done <-chan struct{}) io.ReadCloser {
-	if body == nil || length >= 0 && length <= placement.LargeBody {
-		return body
-	}
 	length = max(length, placement.LargeBody)
 	l.add(length)
 	return &arriving{ReadCloser: body, link: l, left: length, done: done}
--- a/internal/proxy/station/link_test.go
+++ b/internal/proxy/station/link_test.go
@@ -67,7 +67,8 @@
 func TestSmallBodiesDoNotWait(t *testing.T) {
 	is := is.New(t)
 	l := newLink(5)
-	small := bodyOf(100)
-	is.Equal(l.take(small, 100, nil), small)
-	is.Equal(l.busyFor(), time.Duration(0))
+	is.True(!l.isLarge(bodyOf(100), 100))
+	is.True(!l.isLarge(nil, 0))
+	is.True(l.isLarge(bodyOf(50_000), 50_000))
+	is.True(l.isLarge(bodyOf(100), -1)) // its length is not known
 }
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -47,6 +47,13 @@
 
 func (s *Station) do(ctx context.Context, r request.Request) request.Answer {
 	arrived := s.now()
+	if !r.Local && s.link.isLarge(r.Body, r.ContentLength) {
+		var err error
+		if r, err = s.receive(ctx, r); err != nil {
+			s.logRefusal(r, err)
+			return request.Failed(err, false)
+		}
+	}
 	id, granted, refusal := s.submit(arrived, r)
 	if refusal.Err != nil {
 		s.logRefusal(r, refusal.Err)
@@ -72,6 +79,45 @@
 	return a
 }
 
+// maxReceived is how much of a large body is received before the request waits
+// for a slot, in bytes.
+const maxReceived = 1 << 20
+
+// receive takes a large body over the link before its request takes a slot,
+// which would be idle meanwhile. A request that would be refused is refused
+// before its body is sent.
+func (s *Station) receive(ctx context.Context, r request.Request) (request.Request, error) {
+	s.mu.Lock()
+	err := s.check(r)
+	if err == nil && !r.MayWait && s.queue.Running()+s.queue.Waiting() >= s.queue.Slots() {
+		err = gd.QueueFull.Errorf("no slot is free")
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return r, err
+	}
+	in := s.link.take(r.Body, r.ContentLength, ctx.Done())
+	data, err := io.ReadAll(io.LimitReader(in, maxReceived))
+	if err != nil {
+		in.Close()
+		return r, gd.Hopeless.Wrapf(err, "the body did not arrive")
+	}
+	r.MayWait = true // what has arrived is not sent again to another node
+	if len(data) < maxReceived {
+		in.Close()
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(data)), int64(len(data))
+		return r, nil
+	}
+	r.Body = &joined{io.MultiReader(bytes.NewReader(data), in), in}
+	return r, nil
+}
+
+// joined is a body whose start has been received.
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
 func message(err error) string {
 	if err == nil {
 		return ""
@@ -193,12 +239,8 @@
 // or when the body of the response is closed.
 func (s *Station) exchange(ctx context.Context, id uint64, r request.Request) request.Answer {
 	req := s.outgoing(ctx, r)
-	if req.Body != nil {
-		defer func() {
-			if _, isLarge := req.Body.(*arriving); isLarge {
-				req.Body.Close() // gives its turn to the next, also after an early answer
-			}
-		}()
+	if _, isArriving := r.Body.(*joined); isArriving {
+		defer r.Body.Close() // gives its turn to the next, also after an early answer
 	}
 	result := s.pool.Do(ctx, pool.Request{Request: req, Target: r.Target, ID: r.ID, Idempotent: r.Idempotent})
 	if result.Err != nil {
@@ -274,11 +316,7 @@
 	platform.SetDeadline(h, left)
 	platform.SetCaller(h, r.Caller)
 	platform.SetExpected(h, s.instance())
-	body := r.Body
-	if !r.Local {
-		body = s.link.take(body, r.ContentLength, ctx.Done())
-	}
-	return &http.Request{Method: r.Method, Host: r.Host, Header: h, Body: body, ContentLength: r.ContentLength}
+	return &http.Request{Method: r.Method, Host: r.Host, Header: h, Body: r.Body, ContentLength: r.ContentLength}
 }
 
 // outcome counts whether the server served a request.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -38,6 +38,7 @@
 	Work        time.Duration
 	Drain       time.Duration // bound of the platform
 	Grace       time.Duration // bound of the platform
+	LinkMbps    float64       // that the settings name for the VMs' links
 	RepeatRatio float64
 	RepeatSlack float64
 	NoPolicy    bool // the operator has written none yet
@@ -122,7 +123,7 @@
 		Listen: settings.SidecarListen{Clients: loopback, Peers: loopback, Ready: loopback, Announcements: loopback, Metrics: loopback},
 		Store:  settings.SidecarStore{Address: f.address},
 		Bounds: settings.SidecarBounds{RepeatRatio: &f.spec.RepeatRatio, RepeatSlack: &f.spec.RepeatSlack},
-		Log:    settings.Log{Level: "info"},
+		Log:    settings.Log{Level: "info"}, LinkMbps: f.spec.LinkMbps,
 	}
 	if drain > 0 {
 		s.Bounds.DrainSeconds = &drain
