--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -259,8 +259,15 @@
 	n.unreachable = 0
 }
 
-// Wait returns the wait that node last told of.
-func (e *Estimates) Wait(node string) time.Duration { return e.of(node).load.Wait }
+// wait returns the wait at node of a request of the class, as the node last told
+// of it.
+func (e *Estimates) wait(class, node string) time.Duration {
+	load := e.of(node).load
+	if e.bytes[class] > LargeBody && node != e.node {
+		return load.Wait + load.Link
+	}
+	return load.Wait
+}
 
 // Failed notes that the server of node failed a request.
 func (e *Estimates) Failed(now time.Duration, node string) {
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -83,14 +83,22 @@
 // for a slot, in bytes.
 const maxReceived = 1 << 20
 
+// linkFree is for how long the link may be busy with other large bodies for it
+// to count as free.
+const linkFree = 50 * time.Millisecond
+
 // receive takes a large body over the link before its request takes a slot,
 // which would be idle meanwhile. A request that would be refused is refused
 // before its body is sent.
 func (s *Station) receive(ctx context.Context, r request.Request) (request.Request, error) {
 	s.mu.Lock()
 	err := s.check(r)
-	if err == nil && !r.MayWait && s.queue.Running()+s.queue.Waiting() >= s.queue.Slots() {
+	switch {
+	case err != nil || r.MayWait:
+	case s.queue.Running()+s.queue.Waiting() >= s.queue.Slots():
 		err = gd.QueueFull.Errorf("no slot is free")
+	case s.link.busyFor() > linkFree:
+		err = gd.QueueFull.Errorf("the link is busy for %s", s.link.busyFor())
 	}
 	s.mu.Unlock()
 	if err != nil {
--- /dev/null
+++ b/internal/proxy/station/station_test.go
@@ -0,0 +1,74 @@
+package station
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/quarantine"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+// announced returns a station whose server has announced itself, and the states
+// that it makes known.
+func announced(t *testing.T) (*Station, *[]server.State) {
+	t.Helper()
+	var states []server.State
+	s := New(Config{
+		Node: "own", Address: "10.0.0.1:1", Service: "shop", LinkMbps: 5, Drain: time.Second,
+		Clock: &clock.Fake{}, Log: hclog.NewNullLogger(),
+		Announce: func(r server.Record) { states = append(states, r.State) },
+		Report:   func([]quarantine.Report) {},
+		Verdict:  func(quarantine.Fingerprint) quarantine.Verdict { return quarantine.Clear },
+		Observe:  func(Outcome) {},
+	})
+	if err := s.Announced(announcement(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	return s, &states
+}
+
+func announcement(started clock.Time, sequence uint64) platform.Announcement {
+	return platform.Announcement{Instance: "i", Service: "shop", Address: "10.0.0.1:1", Slots: 2, Started: started, Sequence: sequence}
+}
+
+// TestBusyLinkRefusesLargeBodies that may not wait, before they are sent.
+func TestBusyLinkRefusesLargeBodies(t *testing.T) {
+	is := is.New(t)
+	s, _ := announced(t)
+	s.link.add(100_000) // 160 ms at 5 Mbit/s
+	a := s.Do(context.Background(), request.Request{Service: "shop", Body: bodyOf(50_000), ContentLength: 50_000, Left: time.Second})
+	is.True(gd.QueueFull.Is(a.Err))
+	is.True(a.IsNotRun())
+	is.Equal(a.Load.Link, 160*time.Millisecond)
+}
+
+// TestOrderOfAnnouncements takes announcements as they may come: late, of an
+// earlier start, of another address, after the server has left.
+func TestOrderOfAnnouncements(t *testing.T) {
+	is := is.New(t)
+	s, states := announced(t)
+	draining := announcement(1, 3)
+	draining.Draining = true
+	is.NoErr(s.Announced(draining))
+	is.NoErr(s.Announced(announcement(1, 2))) // late
+	is.NoErr(s.Announced(announcement(1, 4))) // a server that leaves does not come back
+	is.Equal(*states, []server.State{server.Up, server.Draining})
+	s.Left("i", 1)
+	is.NoErr(s.Announced(announcement(1, 5)))
+	is.Equal(*states, []server.State{server.Up, server.Draining, server.Gone})
+	is.NoErr(s.Announced(announcement(2, 1))) // the next start under the same name
+	s.Left("i", 1)                            // late notice of the one before
+	is.NoErr(s.Announced(announcement(1, 9)))
+	is.Equal(*states, []server.State{server.Up, server.Draining, server.Gone, server.Up})
+	other := announcement(3, 1)
+	other.Address = "10.0.0.2:1"
+	is.True(gd.Invalid.Is(s.Announced(other)))
+}
