Names of the platform stay in its folder; requests of servers are not told apart

No node can tell a request that a server makes from one of a client, so the flag was never set outside the emulator; the rank of the route decides.

--- a/cmd/geraniumdock/sidecar.go
+++ b/cmd/geraniumdock/sidecar.go
@@ -26,11 +26,17 @@
 )
 
 type sidecarCommand struct {
-	Settings string `long:"settings" value-name:"FILE" env:"GERANIUMDOCK_SETTINGS" required:"yes" description:"settings file"`
+	Settings string `long:"settings" value-name:"FILE" description:"settings file"`
 }
 
 // Execute runs a node on the platform until a signal.
 func (c *sidecarCommand) Execute([]string) error {
+	if c.Settings == "" {
+		c.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	if c.Settings == "" {
+		return gd.Invalid.Errorf("--settings or %s must name the settings file", platform.SettingsVariable)
+	}
 	s, err := settings.ReadSidecar(c.Settings)
 	if err != nil {
 		return err
--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -31,7 +31,6 @@
 type Item struct {
 	ID        uint64
 	Class     string        // requests of one class take about the same time
-	Inner     bool          // made by a request that already holds a slot somewhere
 	Priority  int           // rank, 0 is the highest
 	Objective time.Duration // instant until which the answer has its full value
 	Deadline  time.Duration // instant after which it has none
@@ -196,12 +195,9 @@
 	return q.typical()
 }
 
-// precedes reports whether a gets a slot before b: requests made by running
-// ones first, then those that can meet their objective, by rank and objective.
+// precedes reports whether a gets a slot before b: those that can meet their
+// objective first, by rank and objective.
 func (q *Queue) precedes(now time.Duration, a, b Item) bool {
-	if a.Inner != b.Inner {
-		return a.Inner
-	}
 	if onTime := q.isOnTime(now, a); onTime != q.isOnTime(now, b) {
 		return onTime
 	}
@@ -252,7 +248,7 @@
 	ahead := q.typical() / 2
 	q.waiting = slices.DeleteFunc(q.waiting, func(it Item) bool {
 		cost := q.cost(it.Class)
-		if now+ahead/time.Duration(q.slots)+cost > it.Deadline || now < q.pressed && !q.isOnTime(now, it) && !it.Inner {
+		if now+ahead/time.Duration(q.slots)+cost > it.Deadline || now < q.pressed && !q.isOnTime(now, it) {
 			expired = append(expired, it)
 			return true
 		}
--- a/internal/call/request/request.go
+++ b/internal/call/request/request.go
@@ -26,7 +26,6 @@
 
 	Class       string // requests of one class take about the same time
 	Idempotent  bool
-	Inner       bool // made by a running request
 	Priority    int
 	Left        time.Duration // until the final answer is due
 	Objective   time.Duration // until an answer has lost most of its value
--- a/internal/load/emulator/world.go
+++ b/internal/load/emulator/world.go
@@ -240,7 +240,7 @@
 		return
 	}
 	it := admission.Item{
-		ID: t.id, Class: r.class.Name, Inner: r.inner, Priority: r.class.Priority,
+		ID: t.id, Class: r.class.Name, Priority: r.class.Priority,
 		Objective: r.first + r.class.Objective, Deadline: r.deadline,
 	}
 	if refusal, ok := n.queue.Offer(w.now, it, mayWait); !ok {
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -130,7 +130,6 @@
 	service   string
 	final     time.Duration // instant of the final answer
 	objective time.Duration // instant until which the answer has its full value
-	inner     bool
 
 	search  placement.Search
 	reached int      // servers that the request has reached
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -109,7 +109,7 @@
 		ID: j.id, Service: j.service, Caller: j.g.cfg.Service,
 		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host,
 		Header: pool.EndToEnd(j.r.Header), Body: in, ContentLength: j.r.ContentLength,
-		Class: j.route.Name, Idempotent: j.route.Idempotent, Inner: j.inner, Priority: j.route.Priority,
+		Class: j.route.Name, Idempotent: j.route.Idempotent, Priority: j.route.Priority,
 		Left: max(j.final-now, 0), Objective: j.objective - now,
 		MayWait: mayWait, Fingerprint: j.fingerprint(),
 	}, nil
--- a/internal/proxy/peer/header.go
+++ b/internal/proxy/peer/header.go
@@ -47,7 +47,7 @@
 // encodeMeta writes the fields of a request that the client did not send.
 func encodeMeta(r request.Request) string {
 	flags := 0
-	for i, set := range []bool{r.Idempotent, r.Inner, r.MayWait} {
+	for i, set := range []bool{r.Idempotent, r.MayWait} {
 		if set {
 			flags |= 1 << i
 		}
@@ -71,7 +71,7 @@
 	if err != nil {
 		return gd.Malformed.Wrapf(err, "flags")
 	}
-	r.Idempotent, r.Inner, r.MayWait = flags&1 != 0, flags&2 != 0, flags&4 != 0
+	r.Idempotent, r.MayWait = flags&1 != 0, flags&2 != 0
 	if r.Priority, err = strconv.Atoi(f[3]); err != nil {
 		return gd.Malformed.Wrapf(err, "priority")
 	}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -157,7 +157,7 @@
 	}
 	s.lastID++
 	it := admission.Item{
-		ID: s.lastID, Class: r.Class, Inner: r.Inner, Priority: r.Priority,
+		ID: s.lastID, Class: r.Class, Priority: r.Priority,
 		Objective: now + r.Objective, Deadline: now + r.Left,
 	}
 	if refusal, ok := s.queue.Offer(now, it, r.MayWait); !ok {
