A crash is noticed at once; requests at three crashes are refused; a body that is not kept ends its request

Causes, each with a test that failed first: a request whose body could not be sent again was offered without end until its deadline; a crashed server was noticed only by the next request, and one that avoided it for its failures never came; a request that crashes busy servers was never refused, for it never ran alone.

--- a/internal/http1/pool/pool.go
+++ b/internal/http1/pool/pool.go
@@ -86,6 +86,16 @@
 	return c.exchange(ctx, r)
 }
 
+// Probe opens a connection and keeps it. An error of kind NoServer means that
+// nothing listens at the address.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err == nil {
+		p.put(c)
+	}
+	return err
+}
+
 // get returns an idle connection that is sound, or a new one.
 func (p *Pool) get(ctx context.Context, idempotent bool) (*conn, error) {
 	for {
--- /dev/null
+++ b/internal/proxy/ingress/ingress_test.go
@@ -0,0 +1,144 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/call/body"
+	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
+	"github.com/geraniumdock/geraniumdock/internal/http1/listener"
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+// peers answers each try with the next of its answers, the last one again and
+// again, after reading the body.
+type peers struct {
+	answers []request.Answer
+	asked   []string
+}
+
+func (p *peers) Do(_ context.Context, address string, r request.Request) request.Answer {
+	p.asked = append(p.asked, address)
+	if r.Body != nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	return p.answers[min(len(p.asked), len(p.answers))-1]
+}
+
+func ok() request.Answer {
+	return request.Answer{Response: &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, Reached: true}
+}
+
+func answered(code int) request.Answer {
+	return request.Answer{Response: &http.Response{StatusCode: code, Body: http.NoBody}, Reached: true}
+}
+
+func shed() request.Answer {
+	a := answered(http.StatusServiceUnavailable)
+	a.Shed = true
+	return a
+}
+
+func failed(k gd.Kind, reached bool) request.Answer { return request.Failed(k.Errorf("test"), reached) }
+
+func ingress(t *testing.T, p *peers) *Ingress {
+	t.Helper()
+	limits := route.Limits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}
+	of := func(name string, idempotent bool) route.Route {
+		return route.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, Attempts: 2, Backends: []route.Backend{{Service: "shop", Weight: 1}}}
+	}
+	policy, err := route.New(1, limits, []string{"shop"}, []route.Route{of("reads", true), of("orders", false)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var d server.Directory
+	d, _ = d.WithRecords(
+		server.Record{Node: "a", Service: "shop", Address: "a", Slots: 1},
+		server.Record{Node: "b", Service: "shop", Address: "b", Slots: 1},
+		server.Record{Node: "c", Service: "shop", Address: "c", Slots: 1})
+	snapshot := &roster.Snapshot{Policy: policy, Directory: d, Serving: d.Serving()}
+	return New(Config{
+		Node: "own", Service: "caller", Snapshot: func() *roster.Snapshot { return snapshot }, Peers: p,
+		Terms: budget.Terms{Window: time.Second, Slack: 100}, Clock: clock.System{}, Log: hclog.NewNullLogger(),
+		Random: rand.New(rand.NewPCG(1, 1)), Observe: func(Outcome) {},
+	})
+}
+
+func ask(g *Ingress, path string, in *body.Spool) *http.Response {
+	h := http.Header{}
+	platform.SetDeadline(h, time.Hour)
+	r := &http.Request{Method: http.MethodPost, Host: "h", RequestURI: path, Header: h}
+	if in != nil {
+		r.ContentLength = -1
+	}
+	return g.Handle(context.Background(), &listener.Request{Request: r, Body: in})
+}
+
+// TestOutcomes has tries end in each way and checks the final answer and how
+// many nodes were asked.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		answers []request.Answer
+		status  int
+		asked   int
+	}{
+		"first answers":                     {"/orders/1", []request.Answer{ok()}, 200, 1},
+		"order refused, then answered":      {"/orders/1", []request.Answer{failed(gd.Draining, false), ok()}, 200, 2},
+		"order not run, then answered":      {"/orders/1", []request.Answer{shed(), ok()}, 200, 2},
+		"order that may have run":           {"/orders/1", []request.Answer{failed(gd.Unknown, true), ok()}, 502, 1},
+		"order that failed":                 {"/orders/1", []request.Answer{answered(500), ok()}, 500, 1},
+		"order not run by two":              {"/orders/1", []request.Answer{shed()}, 503, 2}, // as many servers as the route allows
+		"read that may have run":            {"/reads/1", []request.Answer{failed(gd.Unknown, true), ok()}, 200, 2},
+		"read that failed":                  {"/reads/1", []request.Answer{answered(500), ok()}, 200, 2},
+		"read that failed at two":           {"/reads/1", []request.Answer{answered(500)}, 500, 2},
+		"read may have run, then refused":   {"/reads/1", []request.Answer{failed(gd.Unknown, true), failed(gd.Draining, false)}, 502, 3},
+		"read may have run, then not run":   {"/reads/1", []request.Answer{failed(gd.Unknown, true), shed()}, 502, 2},
+		"hopeless is not tried elsewhere":   {"/reads/1", []request.Answer{failed(gd.Hopeless, false), ok()}, 503, 1},
+		"quarantined is not tried again":    {"/reads/1", []request.Answer{failed(gd.Quarantined, false), ok()}, 503, 1},
+		"all are full, and stay so":         {"/reads/1", []request.Answer{failed(gd.QueueFull, false)}, 503, 6}, // each twice: for a slot, and to wait
+		"not found is the server's to say":  {"/reads/1", []request.Answer{answered(404), ok()}, 404, 1},
+		"no route":                          {"/else/1", []request.Answer{ok()}, 404, 0},
+		"timeout at the server is not sent": {"/reads/1", []request.Answer{answered(504), ok()}, 504, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &peers{answers: c.answers}
+			res := ask(ingress(t, p), c.path, nil)
+			is.Equal(res.StatusCode, c.status)
+			is.Equal(len(p.asked), c.asked)
+			is.Equal(res.Header.Get("Retry-After") != "", c.status == 503 && !strings.Contains(name, "not run by two"))
+		})
+	}
+}
+
+// TestBodyThatIsNotKeptIsNotSentAgain has a node read a body that is larger than
+// what is kept, and refuse it. The request ends; nothing is left to send.
+func TestBodyThatIsNotKeptIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	in := body.New(1 << 10)
+	go func() {
+		for range 100 {
+			_, _ = in.Write(make([]byte, 1<<10))
+		}
+		in.End(nil)
+	}()
+	p := &peers{answers: []request.Answer{failed(gd.Draining, false)}}
+	res := ask(ingress(t, p), "/orders/1", in)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable) // it has not run
+	is.Equal(len(p.asked), 1)
+}
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -76,7 +76,7 @@
 	g := j.g
 	r, err := j.request(mayWait)
 	if err != nil {
-		return request.Failed(err, j.ran)
+		return request.Failed(gd.Hopeless.Wrapf(err, "the request cannot be sent again"), j.ran)
 	}
 	g.mu.Lock()
 	g.estimates.Sent(rec.Node)
--- a/internal/proxy/sidecar/fleet_test.go
+++ b/internal/proxy/sidecar/fleet_test.go
@@ -284,3 +284,37 @@
 	}
 	is.NoErr(f.AwaitServers(2))
 }
+
+// TestRequestThatCrashesServersIsRefused has three servers crash one after the
+// other while they run the same request, beside others. It reaches no fourth.
+func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := start(t, fleet.Spec{Nodes: shop(4), Slots: 4, Work: time.Hour})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	left := len(f.VMs)
+	for i := range 3 {
+		id := fmt.Sprint("poison-", i)
+		go f.Do(ctx, fleet.Request{VM: f.VMs[3], Method: http.MethodPost, Path: "/orders/poison", ID: id, Body: "x"})
+		go f.Do(ctx, fleet.Request{VM: f.VMs[3], Method: http.MethodPost, Path: fmt.Sprint("/orders/good-", i), ID: fmt.Sprint("good-", i), Body: "x"})
+		is.NoErr(fleet.Await("the request runs", func() bool { return runs(f, id) == 1 }))
+		for _, vm := range f.VMs {
+			if vm.Server.RunsOf(id) == 1 {
+				vm.Server.Crash()
+			}
+		}
+		// Requests that find the server down show that it has crashed.
+		left--
+		is.NoErr(fleet.Await("the crash is noticed", func() bool {
+			short, done := context.WithTimeout(ctx, 20*time.Millisecond)
+			defer done()
+			f.Do(short, fleet.Request{VM: f.VMs[3], Path: "/reads/1", ID: "look"})
+			_, servers := f.VMs[3].Sidecar.Known()
+			return servers == left
+		}))
+	}
+	is.NoErr(fleet.Await("the request is refused", func() bool {
+		a := f.Do(ctx, fleet.Request{VM: f.VMs[3], Method: http.MethodPost, Path: "/orders/poison", ID: "last", Body: "x", Deadline: 50 * time.Millisecond})
+		return a.Status == http.StatusServiceUnavailable
+	}))
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -109,10 +109,8 @@
 		Clock: cfg.Clock, Log: cfg.Log,
 		Announce: func(r server.Record) { go s.roster.Announce(s.ctx, r) },
 		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
-		Verdict: func(fp quarantine.Fingerprint) quarantine.Verdict {
-			return s.roster.Snapshot().Register.Verdict(cfg.Clock.Now(), fp)
-		},
-		Observe: func(o station.Outcome) { cfg.Meter.Served(o.Status, o.Wait, o.Slot) },
+		Verdict:  s.verdict,
+		Observe:  func(o station.Outcome) { cfg.Meter.Served(o.Status, o.Wait, o.Slot) },
 	})
 	s.ingress = ingress.New(ingress.Config{
 		Node: st.Node, DataCentre: st.DataCentre, Service: st.Server.Service,
@@ -139,6 +137,20 @@
 	return budget.Terms{Window: window, Ratio: repeatShare * ratio, Slack: repeatShare * slack}
 }
 
+// crashesToRefuse is the number of crashes after which a request is refused
+// though others were in flight at each of them. Here requests do not wait until
+// they can run alone, which would hold up a whole server.
+const crashesToRefuse = 3
+
+// verdict tells whether a request may reach a server.
+func (s *Sidecar) verdict(fp quarantine.Fingerprint) quarantine.Verdict {
+	register, now := s.roster.Snapshot().Register, s.cfg.Clock.Now()
+	if register.Crashes(now, fp) >= crashesToRefuse {
+		return quarantine.Refused
+	}
+	return register.Verdict(now, fp)
+}
+
 // startLimits are in force until a policy is known.
 var startLimits = route.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -356,13 +356,39 @@
 			s.cut = append(s.cut, s.flying[id])
 		}
 		s.cutAt = now
+		if !s.probing {
+			s.probing = true
+			s.tasks.Go(s.probe)
+		}
 		return
 	}
+	s.down(now, result.Err)
+}
+
+// probeAfter is the pause between a connection that broke and the look whether
+// the server still listens.
+const probeAfter = 20 * time.Millisecond
+
+// probe finds out whether the server has crashed, so that no request has to.
+func (s *Station) probe() {
+	time.Sleep(probeAfter)
+	err := s.pool.Probe(context.Background())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probing = false
+	if gd.NoServer.Is(err) {
+		s.down(s.now(), err)
+	}
+}
+
+// down takes the server for crashed until it announces itself again. The caller
+// holds s.mu.
+func (s *Station) down(now time.Duration, cause error) {
 	if s.state != server.Up {
 		return
 	}
 	s.state = server.Lost
-	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", message(result.Err), "cut", len(s.cut))
+	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", message(cause), "cut", len(s.cut))
 	for _, it := range s.queue.Clear() {
 		s.refuse(it.ID, gd.Misplaced.Errorf("the server beside node %s is down", s.cfg.Node))
 	}
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -77,6 +77,8 @@
 	cut      []quarantine.Fingerprint // in flight when connections broke
 	cutAt    time.Duration
 	crashes  uint64
+	probing  bool // a probe is under way
+	tasks    sync.WaitGroup
 }
 
 // New returns a station for the server at cfg.Address.
@@ -109,7 +111,10 @@
 }
 
 // Close closes the connections to the server.
-func (s *Station) Close() { s.pool.Close() }
+func (s *Station) Close() {
+	s.tasks.Wait()
+	s.pool.Close()
+}
 
 // Opened returns how many connections to the server have been opened.
 func (s *Station) Opened() uint64 { return s.pool.Opened() }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -137,6 +137,18 @@
 	return Clear
 }
 
+// Crashes returns at how many crashes requests with fingerprint fp were in
+// flight within the term.
+func (g Register) Crashes(now clock.Time, fp Fingerprint) int {
+	n := 0
+	for k, r := range g.reports {
+		if k.fingerprint == fp && r.At.Add(Term) > now {
+			n++
+		}
+	}
+	return n
+}
+
 // Reports returns all reports, ordered.
 func (g Register) Reports() []Report {
 	list := slices.Collect(maps.Values(g.reports))
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -59,3 +59,12 @@
 	// suspect
 	// refused
 }
+
+func TestCrashes(t *testing.T) {
+	is := is.New(t)
+	var g Register
+	g, _ = g.WithReports(report(1, "a", false), report(1, "b", false), report(2, "a", false), report(1, "a", false))
+	is.Equal(g.Crashes(0, 1), 2) // the same crash counts once
+	is.Equal(g.Crashes(0, 2), 1)
+	is.Equal(g.Crashes(clock.Time(Term.Milliseconds()), 1), 0)
+}
