Of several announcements the last one counts

Cause, found by reading: each change of a server's record was handed over by a goroutine of its own, which may overtake each other; a server that crashed and came back at once could stay down for the fleet.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -33,10 +33,10 @@
 // wait for changes, and every node looks for them now and then, for a watch may
 // go silent.
 func (r *Roster) followPolicy(ctx context.Context) {
-	var follower follower
+	var f follower
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		err := r.look(ctx, &follower)
+		err := r.look(ctx, &f)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -47,12 +47,12 @@
 			}
 			continue
 		case gd.Expired.Is(err):
-			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.Policies, "revision", follower.revision)
-			follower.listed = false
+			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.Policies, "revision", f.revision)
+			f.listed = false
 			continue
-		case !follower.lost:
+		case !f.lost:
 			r.cfg.Log.Warn(event.StoreLost, "kind", r.cfg.Policies, "error", gd.Message(err))
-			follower.lost = true
+			f.lost = true
 		}
 		r.sleep(ctx, r.jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
@@ -242,7 +242,7 @@
 		case rec.State != server.Gone && (now-since < missingFor || isHeard && now-heard < heardWithin):
 		default:
 			s.directory = s.directory.Without(node)
-			s.buried[node] = rec
+			s.forgotten[node] = rec
 			delete(s.missing, node)
 			delete(s.heard, node)
 			delete(s.changed, node)
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -72,8 +72,10 @@
 	tasks    sync.WaitGroup
 	pushing  chan struct{} // bounds the pushes under way
 
-	mu     sync.Mutex
-	random *rand.Rand // guarded by mu
+	mu           sync.Mutex // guards what follows
+	random       *rand.Rand
+	latest       server.Record // that was announced
+	latestNumber uint64        // counts the records announced
 }
 
 // state is owned by the control goroutine.
@@ -91,8 +93,9 @@
 	changed   map[string]time.Duration // when a node's record was last replaced
 	missing   map[string]time.Duration // since when the catalogue lacks a known node's entry
 	heard     map[string]time.Duration // when a node was last heard directly
-	buried    map[string]server.Record // forgotten ones, so that other nodes do not bring them back
+	forgotten map[string]server.Record // forgotten ones, so that other nodes do not bring them back
 	left      bool
+	announced uint64 // number of the announced record that was taken over
 	asking    uint64 // version of the policy that another node was asked for
 
 	compressed   []byte // raw as it is sent to other nodes
@@ -125,12 +128,12 @@
 	loops.Go(func() { r.publishAll(ctx) })
 	loops.Go(func() { r.gossip(ctx) })
 	s := &state{
-		r:       r,
-		ctx:     ctx,
-		changed: map[string]time.Duration{},
-		missing: map[string]time.Duration{},
-		heard:   map[string]time.Duration{},
-		buried:  map[string]server.Record{},
+		r:         r,
+		ctx:       ctx,
+		changed:   map[string]time.Duration{},
+		missing:   map[string]time.Duration{},
+		heard:     map[string]time.Duration{},
+		forgotten: map[string]server.Record{},
 	}
 	tick := time.NewTicker(expiryTick)
 	defer tick.Stop()
@@ -220,14 +223,14 @@
 	if node != "" {
 		source = "node " + node
 		records = slices.DeleteFunc(records, func(r server.Record) bool {
-			old, ok := s.buried[r.Node]
+			old, ok := s.forgotten[r.Node]
 			return ok && r.Node != node && r.Compare(old) <= 0
 		})
 	}
 	var newer []server.Record
 	s.directory, newer = s.directory.WithRecords(records...)
 	for _, r := range newer {
-		delete(s.buried, r.Node)
+		delete(s.forgotten, r.Node)
 		s.changed[r.Node] = s.r.cfg.Clock.Monotonic()
 		if r.Node == s.r.cfg.Self.Node {
 			s.meetOwn(r)
@@ -278,15 +281,30 @@
 }
 
 // Announce makes the server's record known. Its Incarnation and Sequence are
-// set here.
+// set here. It does not wait; of several records the last one counts.
 func (r *Roster) Announce(ctx context.Context, rec server.Record) {
-	r.post(ctx, func(s *state) {
-		rec.Node, rec.Address = r.cfg.Self.Node, r.cfg.Self.Address
-		rec.DataCentre, rec.Region = r.cfg.Self.DataCentre, r.cfg.Self.Region
-		rec.Incarnation = max(r.cfg.Self.Incarnation, s.own.Incarnation)
-		rec.Sequence = s.own.Sequence + 1
-		s.announce(rec)
-	})
+	rec.Node, rec.Address = r.cfg.Self.Node, r.cfg.Self.Address
+	rec.DataCentre, rec.Region = r.cfg.Self.DataCentre, r.cfg.Self.Region
+	r.mu.Lock()
+	r.latest = rec
+	r.latestNumber++
+	r.mu.Unlock()
+	go r.post(ctx, (*state).announceLatest)
+}
+
+// announceLatest takes over the record that was announced last, unless it has
+// been taken already.
+func (s *state) announceLatest() {
+	s.r.mu.Lock()
+	rec, number := s.r.latest, s.r.latestNumber
+	s.r.mu.Unlock()
+	if s.left || number == s.announced {
+		return
+	}
+	s.announced = number
+	rec.Incarnation = max(s.r.cfg.Self.Incarnation, s.own.Incarnation)
+	rec.Sequence = s.own.Sequence + 1
+	s.announce(rec)
 }
 
 // Report makes known that requests were in flight when a server crashed.
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -124,6 +124,36 @@
 	is.Equal(len(r.Snapshot().Serving["shop"]), 1)
 }
 
+// TestLastAnnouncementCounts makes many before the roster runs: none waits, and
+// whatever order they are taken up in, the last one stands.
+func TestLastAnnouncementCounts(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{
+		Self:      server.Record{Node: "own", Address: "own:1", Incarnation: 5},
+		Catalogue: closed{}, Decode: decodeNumber, Exchanger: &silent{begun: make(chan struct{})},
+		Clock: clock.System{}, Log: hclog.NewNullLogger(), Seed: 1,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	const n = 2 * eventBuffer
+	for i := range n {
+		state := server.Up
+		if i < n-1 {
+			state = server.Lost
+		}
+		r.Announce(ctx, server.Record{Service: "shop", Slots: 1, State: state})
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.Run(ctx) }()
+	a := tell(r, Message{Node: "peer"})
+	for len(a.Records) == 0 {
+		a = tell(r, Message{Node: "peer"})
+	}
+	is.Equal(a.Records[0].State, server.Up)
+	is.Equal(a.Records[0].Sequence, uint64(1)) // the others were not made known
+	cancel()
+	<-done
+}
+
 // TestRecordOfAnEarlierProcessIsAdopted only where it names this address.
 func TestRecordOfAnEarlierProcessIsAdopted(t *testing.T) {
 	is := is.New(t)
@@ -170,7 +200,7 @@
 	s := &state{
 		r:       New(Config{Self: server.Record{Node: "own"}, Clock: &clock.Fake{}, Log: hclog.NewNullLogger()}),
 		changed: map[string]time.Duration{}, missing: map[string]time.Duration{},
-		heard: map[string]time.Duration{}, buried: map[string]server.Record{"gone": gone},
+		heard: map[string]time.Duration{}, forgotten: map[string]server.Record{"gone": gone},
 	}
 	is.Equal(len(s.merge([]server.Record{gone}, "peer")), 0)
 	is.Equal(len(s.merge([]server.Record{gone}, "gone")), 1)
@@ -188,7 +218,7 @@
 	s := &state{
 		r:       New(Config{Self: server.Record{Node: "own"}, Clock: clk, Log: hclog.NewNullLogger()}),
 		changed: map[string]time.Duration{}, missing: map[string]time.Duration{},
-		heard: map[string]time.Duration{}, buried: map[string]server.Record{},
+		heard: map[string]time.Duration{}, forgotten: map[string]server.Record{},
 	}
 	s.merge([]server.Record{{Node: "peer", Address: "peer:1", Service: "shop", Incarnation: 1}}, "peer")
 	clk.Advance(missingFor)
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -107,7 +107,7 @@
 	s.station = station.New(station.Config{
 		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.Drain(), LinkMbps: st.LinkMbps,
 		Clock: cfg.Clock, Log: cfg.Log,
-		Announce: func(r server.Record) { go s.roster.Announce(s.ctx, r) },
+		Announce: func(r server.Record) { s.roster.Announce(s.ctx, r) },
 		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
 		Verdict:  s.verdict,
 		Observe:  func(o station.Outcome) { cfg.Meter.Served(o.Status, o.Wait, o.Slot) },
