--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -69,6 +69,7 @@
 	known    bool          // a server has announced itself or was adopted
 	leaving  time.Duration // instant at which the server began to leave
 	left     bool          // the node itself goes
+	gone     leave         // the last notice of a leave
 	coldTill time.Duration
 	failing  float64
 	lastID   uint64
@@ -130,7 +131,7 @@
 	if s.known && isOlder(a, s.server) {
 		return nil
 	}
-	if s.known && a.Started == s.server.Started && s.state == server.Gone {
+	if s.known && a.Started == s.server.Started && s.state == server.Gone || s.gone.covers(a) {
 		return nil // a late announcement of a server that has left
 	}
 	fresh := !s.known || a.Started != s.server.Started || a.Instance != s.server.Instance
@@ -165,6 +166,19 @@
 	return a.Instance == b.Instance && a.Sequence <= b.Sequence
 }
 
+// leave is a server's notice that it has left. The notice need not tell which
+// start of the server leaves.
+type leave struct {
+	instance string
+	at       clock.Time // when it came
+}
+
+// covers reports whether a is said by the server that left: it has its name and
+// started before the notice came.
+func (l leave) covers(a platform.Announcement) bool {
+	return l.instance != "" && a.Instance == l.instance && a.Started <= l.at
+}
+
 // Left takes the server's notice that it has left. Started is 0 if the notice
 // does not tell which incarnation leaves.
 func (s *Station) Left(instance string, started clock.Time) {
@@ -177,6 +191,7 @@
 		s.server = platform.Announcement{Instance: instance, Started: started, Service: s.server.Service, Slots: s.server.Slots}
 	}
 	s.known = true
+	s.gone = leave{instance, s.cfg.Clock.Now()}
 	s.cfg.Log.Info(event.ServerLeft, "instance", instance, "started", s.server.Started.String(), "before", s.state.String())
 	if s.state != server.Draining {
 		s.leave(server.Gone)
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -72,3 +72,22 @@
 	other.Address = "10.0.0.2:1"
 	is.True(gd.Invalid.Is(s.Announced(other)))
 }
+
+// TestServerThatLeftBeforeItWasKnown tells a node that has just started of its
+// leave, without saying which start of it leaves. Announcements of that start
+// are late; the next start is a new server.
+func TestServerThatLeftBeforeItWasKnown(t *testing.T) {
+	is := is.New(t)
+	clk := &clock.Fake{}
+	clk.Advance(time.Minute)
+	var states []server.State
+	s := New(Config{
+		Address: "10.0.0.1:1", Drain: time.Second, Clock: clk, Log: hclog.NewNullLogger(),
+		Announce: func(r server.Record) { states = append(states, r.State) },
+	})
+	s.Left("i", 0)
+	is.NoErr(s.Announced(announcement(clk.Now()-1000, 25)))
+	is.Equal(states, []server.State{server.Gone})
+	is.NoErr(s.Announced(announcement(clk.Now()+1000, 1)))
+	is.Equal(states, []server.State{server.Gone, server.Up})
+}
