--- a/internal/call/body/hold.go
+++ b/internal/call/body/hold.go
@@ -30,3 +30,14 @@
 	res.ContentLength = int64(len(held))
 	res.TransferEncoding = nil
 }
+
+// Joined is a body whose start was read already.
+type Joined struct {
+	io.Reader
+	io.Closer
+}
+
+// Join returns a body that begins with start and goes on with rest.
+func Join(start []byte, rest io.ReadCloser) *Joined {
+	return &Joined{io.MultiReader(bytes.NewReader(start), rest), rest}
+}
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -131,7 +130,7 @@
 		a.Response.Body.Close()
 		body.WithHeld(a.Response, held)
 	default:
-		a.Response.Body = rest(held, a.Response.Body)
+		a.Response.Body = body.Join(held, a.Response.Body)
 	}
 	return a
 }
@@ -254,15 +253,5 @@
 	return err
 }
 
-// rest returns a body that begins with held and goes on with tail.
-func rest(held []byte, tail io.ReadCloser) io.ReadCloser {
-	return &joined{io.MultiReader(bytes.NewReader(held), tail), tail}
-}
-
-type joined struct {
-	io.Reader
-	io.Closer
-}
-
 // comeBackDefault is named where no server told when it will have room.
 const comeBackDefault = 200 * time.Millisecond
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -136,17 +136,10 @@
 
 // run starts the sidecar of a VM and has its server announce itself.
 func (f *Fleet) run(vm *VM) error {
-	store := platform.NewStore(f.address, &http.Transport{MaxIdleConnsPerHost: 4})
-	s, err := sidecar.New(sidecar.Config{
-		Settings: vm.Settings, Catalogue: store, Clock: clock.System{},
-		Log: f.spec.Log.Named(vm.Settings.Node), Meter: meter.New(), Seed: uint64(len(f.VMs) + 1),
-	})
-	if err != nil {
+	if err := f.launch(vm); err != nil {
 		return err
 	}
-	s.Start()
-	vm.Sidecar = s
-	vm.Server.Node = s.Address("announcements")
+	vm.Server.Node = vm.Sidecar.Address("announcements")
 	return vm.Server.Announce()
 }
 
@@ -156,6 +149,11 @@
 	l := &vm.Settings.Listen
 	l.Clients, l.Peers = vm.Sidecar.Address("clients"), vm.Sidecar.Address("peers")
 	l.Announcements, l.Ready = vm.Sidecar.Address("announcements"), vm.Sidecar.Address("ready")
+	return f.launch(vm)
+}
+
+// launch starts a sidecar with the settings of vm.
+func (f *Fleet) launch(vm *VM) error {
 	store := platform.NewStore(f.address, &http.Transport{MaxIdleConnsPerHost: 4})
 	s, err := sidecar.New(sidecar.Config{
 		Settings: vm.Settings, Catalogue: store, Clock: clock.System{},
