--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -35,6 +35,7 @@
 	coldFactor     = 2                      // a cold server takes this many times longer
 	unreachableFor = 500 * time.Millisecond // first pause after a node could not be reached
 	maxUnreachable = 8 * time.Second
+	exploring      = 0.1 // share of the choices in which a server of which nothing is known goes first
 )
 
 // LargeBody is the size from which the time that a body takes on the links of
@@ -172,6 +173,11 @@
 	if mean == 0 {
 		mean = e.typical()
 	}
+	if e.isUnknown(now, n) && e.rnd.Float64() < exploring {
+		// Where fast servers are idle, one that has joined would never be the
+		// best, and nothing would be learned of it.
+		mean = 0
+	}
 	if n.load.Cold > 0 && now < n.heard+n.load.Cold {
 		mean *= coldFactor
 	}
@@ -211,6 +217,12 @@
 	return float64(n.sent) + max(0, others)*math.Exp2(-float64(now-n.heard)/float64(loadHalf))
 }
 
+// isUnknown reports whether nothing is known of the server's speed: it has not
+// been heard, at least not lately, and no request is on its way to it.
+func (e *Estimates) isUnknown(now time.Duration, n *estimate) bool {
+	return n.sent == 0 && (!n.isHeard || now-n.heard > silentFor)
+}
+
 // typical returns the mean slot time of the servers that were heard.
 func (e *Estimates) typical() time.Duration {
 	var sum time.Duration
--- a/internal/call/placement/placement_test.go
+++ b/internal/call/placement/placement_test.go
@@ -218,3 +218,27 @@
 	_, _, ok := e.Next(0, "read", serving, &s)
 	is.True(!ok)
 }
+
+// TestServerThatJoinsIsTried plays a calm time in which fast servers are idle
+// and one joins of which nothing is known. It is tried soon, and no more than
+// others once it has turned out to be slow.
+func TestServerThatJoinsIsTried(t *testing.T) {
+	is := is.New(t)
+	e, serving := estimates(), records(6, "a")
+	means := map[string]time.Duration{"n0": 50 * ms, "n1": 50 * ms, "n2": 50 * ms, "n3": 200 * ms, "n4": 200 * ms, "n5": 200 * ms}
+	for _, r := range serving[:5] {
+		e.Heard(0, r.Node, Load{Slots: 2, Mean: means[r.Node]})
+	}
+	var at []int // choices that went to the server that joined
+	for i := range 400 {
+		now := time.Duration(i) * 10 * ms
+		r, _, ok := e.Choose(now, "read", serving, nil)
+		is.True(ok)
+		e.Heard(now, r.Node, Load{Slots: 2, Mean: means[r.Node]})
+		if r.Node == "n5" {
+			at = append(at, i)
+		}
+	}
+	is.Equal(len(at), 1) // once known, it is the slowest
+	is.True(at[0] < 100) // within a second at 100 requests a second
+}
