Requests that were long on their way are refused, and their time is counted

Nodes now stamp requests with their steady clock, the receiver takes the least difference seen lately for a free way and the rest for delay: it shortens what is left, over 0.4 s the request is refused as not run, and placement prefers nodes whose way is free. Tests: transit, station, placement.

--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -26,7 +26,7 @@
 	baseBytes      = 1 << 10                // of heads, to and fro
 	firstPenalty   = 150 * time.Millisecond // after a failure
 	maxPenalty     = 3 * time.Second
-	penaltyHalf    = time.Second            // half-life of a penalty
+	penaltyHalf    = time.Second            // half-life of a penalty, and of a queue on the way
 	loadHalf       = 250 * time.Millisecond // half-life of what a load report says beyond the usual
 	sampled        = 6                      // servers that are compared, so that nodes do not all choose the same
 	smoothing      = 0.1                    // weight of the newest size in a mean
@@ -52,6 +52,7 @@
 	Cold    time.Duration // how much longer the server is slow after its start
 	Failing float64       // share of the last requests that it failed
 	Link    time.Duration // until the large bodies that are on their way have arrived
+	Way     time.Duration // that the last request was on its way beyond the usual
 }
 
 // Estimates hold what one node knows of the servers it sends requests to. The
@@ -188,7 +189,7 @@
 	if n.load.Failing > 0 {
 		cost += time.Duration(min(n.load.Failing, 1) * float64(maxPenalty))
 	}
-	cost += decayed(n.penalty, now-n.punished)
+	cost += decayed(n.penalty, now-n.punished) + decayed(n.load.Way, now-n.heard)
 	if r.Node != e.node {
 		cost += hop
 	}
--- a/internal/call/placement/placement_test.go
+++ b/internal/call/placement/placement_test.go
@@ -69,6 +69,10 @@
 			func(e *Estimates, n string) { e.Heard(0, n, idle) },
 			func(e *Estimates, n string) { e.Heard(0, n, Load{Slots: 2, Mean: 100 * ms, Failing: 0.5}) },
 		},
+		"the one with a free way": {
+			func(e *Estimates, n string) { e.Heard(0, n, idle) },
+			func(e *Estimates, n string) { e.Heard(0, n, Load{Slots: 2, Mean: 100 * ms, Way: 200 * ms}) },
+		},
 		"the one that has not failed lately": {
 			func(e *Estimates, n string) { e.Heard(0, n, idle) },
 			func(e *Estimates, n string) { e.Heard(0, n, idle); e.Failed(0, n) },
--- a/internal/call/request/request.go
+++ b/internal/call/request/request.go
@@ -30,6 +30,7 @@
 	Left        time.Duration // until the final answer is due
 	Objective   time.Duration // until an answer has lost most of its value
 	MayWait     bool          // for a slot; else it is refused where none is free
+	Delayed     time.Duration // on its way between nodes, beyond the usual
 	Local       bool          // it comes from the node itself and not over the VM's link
 	Fingerprint quarantine.Fingerprint
 }
--- a/internal/proxy/peer/client.go
+++ b/internal/proxy/peer/client.go
@@ -43,6 +43,9 @@
 // Client sends requests and messages to other nodes. Use NewClient.
 type Client struct {
 	transport *http.Transport
+	node      string
+	process   uint64
+	clock     gd.Clock
 }
 
 // IsThin reports whether a link of so many Mbit/s is thin. One of 0 is unknown.
@@ -55,10 +58,10 @@
 	return streamBuffer
 }
 
-// NewClient returns a client without connections, on a VM whose link has the
-// given bandwidth.
-func NewClient(mbps float64) *Client {
-	return &Client{transport: &http.Transport{
+// NewClient returns the client of a node without connections, on a VM whose link
+// has the given bandwidth.
+func NewClient(node string, mbps float64, clk gd.Clock) *Client {
+	return &Client{node: node, process: uint64(clk.Now()), clock: clk, transport: &http.Transport{
 		Protocols:          cleartext(),
 		DialContext:        Dialer(dialTimeout).DialContext,
 		DisableCompression: true,
@@ -102,7 +105,7 @@
 func (c *Client) Do(ctx context.Context, address string, r request.Request) request.Answer {
 	h := pool.EndToEnd(r.Header)
 	strip(h)
-	h.Set(metaHeader, encodeMeta(r))
+	h.Set(metaHeader, encodeMeta(r, c.node, stamp{c.process, c.clock.Monotonic()}))
 	h.Set(targetHeader, encodeText(r.Target))
 	h.Set(hostHeader, encodeText(r.Host))
 	h.Set(classHeader, encodeText(r.Class))
--- a/internal/proxy/peer/handler.go
+++ b/internal/proxy/peer/handler.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
@@ -39,9 +40,12 @@
 
 // NewServer returns a server that passes requests to station and messages to
 // members, on a VM whose link has the given bandwidth.
-func NewServer(station Station, members Roster, mbps float64, log hclog.Logger) *Server {
+func NewServer(station Station, members Roster, mbps float64, clk gd.Clock, log hclog.Logger) *Server {
+	var ways transit
 	mux := http.NewServeMux()
-	mux.HandleFunc(requestPath, func(w http.ResponseWriter, r *http.Request) { serveRequest(station, w, r) })
+	mux.HandleFunc(requestPath, func(w http.ResponseWriter, r *http.Request) {
+		serveRequest(station, &ways, clk.Monotonic(), w, r)
+	})
 	mux.HandleFunc(exchangePath, func(w http.ResponseWriter, r *http.Request) { serveExchange(members, w, r) })
 	return &Server{http: &http.Server{
 		Handler:   mux,
@@ -71,33 +75,33 @@
 	return nil
 }
 
-func serveRequest(station Station, w http.ResponseWriter, r *http.Request) {
-	in, err := decodeRequest(r)
+func serveRequest(station Station, ways *transit, now time.Duration, w http.ResponseWriter, r *http.Request) {
+	in, node, at, err := decodeRequest(r)
 	if err != nil {
 		writeAnswer(w, request.Failed(err, false))
 		return
 	}
+	in.Delayed = ways.delay(now, node, at)
 	writeAnswer(w, station.Do(r.Context(), in))
 }
 
-func decodeRequest(r *http.Request) (request.Request, error) {
-	in := request.Request{Method: r.Method, Body: r.Body, ContentLength: r.ContentLength}
-	if err := decodeMeta(r.Header.Get(metaHeader), &in); err != nil {
-		return in, err
+// decodeRequest returns a request, and which node sent it when.
+func decodeRequest(r *http.Request) (in request.Request, node string, at stamp, err error) {
+	in = request.Request{Method: r.Method, Body: r.Body, ContentLength: r.ContentLength}
+	if node, at, err = decodeMeta(r.Header.Get(metaHeader), &in); err != nil {
+		return in, node, at, err
 	}
 	for _, f := range []struct {
 		name string
 		into *string
 	}{{targetHeader, &in.Target}, {hostHeader, &in.Host}, {classHeader, &in.Class}} {
-		text, err := decodeText(r.Header.Get(f.name))
-		if err != nil {
-			return in, err
+		if *f.into, err = decodeText(r.Header.Get(f.name)); err != nil {
+			return in, node, at, err
 		}
-		*f.into = text
 	}
 	in.Header = strip(r.Header)
 	in.ID = platform.RequestID(in.Header)
-	return in, nil
+	return in, node, at, nil
 }
 
 func writeAnswer(w http.ResponseWriter, a request.Answer) {
--- a/internal/proxy/peer/header.go
+++ b/internal/proxy/peer/header.go
@@ -44,8 +44,9 @@
 	outcomeUnknown = "unknown"
 )
 
-// encodeMeta writes the fields of a request that the client did not send.
-func encodeMeta(r request.Request) string {
+// encodeMeta writes the fields of a request that the client did not send, and
+// who sent it when.
+func encodeMeta(r request.Request, node string, at stamp) string {
 	flags := 0
 	for i, set := range []bool{r.Idempotent, r.MayWait} {
 		if set {
@@ -56,40 +57,40 @@
 		r.Service, r.Caller, strconv.Itoa(flags), strconv.Itoa(r.Priority),
 		strconv.FormatInt(r.Left.Milliseconds(), 10), strconv.FormatInt(r.Objective.Milliseconds(), 10),
 		strconv.FormatUint(uint64(r.Fingerprint), 16),
+		node, strconv.FormatUint(at.process, 10), strconv.FormatInt(at.sent.Milliseconds(), 10),
 	}, " ")
 }
 
-const metaFields = 7
+const metaFields = 10
 
-func decodeMeta(text string, r *request.Request) error {
+func decodeMeta(text string, r *request.Request) (node string, at stamp, err error) {
 	f := strings.Split(text, " ")
 	if len(f) != metaFields {
-		return gd.Malformed.Errorf("%s has %d fields, not %d", metaHeader, len(f), metaFields)
+		return "", stamp{}, gd.Malformed.Errorf("%s has %d fields, not %d", metaHeader, len(f), metaFields)
 	}
-	r.Service, r.Caller = f[0], f[1]
-	flags, err := strconv.Atoi(f[2])
-	if err != nil {
-		return gd.Malformed.Wrapf(err, "flags")
-	}
-	r.Idempotent, r.MayWait = flags&1 != 0, flags&2 != 0
-	if r.Priority, err = strconv.Atoi(f[3]); err != nil {
-		return gd.Malformed.Wrapf(err, "priority")
-	}
-	left, err := strconv.ParseInt(f[4], 10, 64)
-	if err != nil {
-		return gd.Malformed.Wrapf(err, "time left")
-	}
-	objective, err := strconv.ParseInt(f[5], 10, 64)
-	if err != nil {
-		return gd.Malformed.Wrapf(err, "objective")
+	r.Service, r.Caller, node = f[0], f[1], f[7]
+	var flags, priority, left, objective, sent int64
+	for _, n := range []struct {
+		name string
+		text string
+		into *int64
+	}{{"flags", f[2], &flags}, {"priority", f[3], &priority}, {"time left", f[4], &left}, {"objective", f[5], &objective}, {"sent", f[9], &sent}} {
+		if *n.into, err = strconv.ParseInt(n.text, 10, 64); err != nil {
+			return "", stamp{}, gd.Malformed.Wrapf(err, "%s", n.name)
+		}
 	}
 	fingerprint, err := strconv.ParseUint(f[6], 16, 64)
 	if err != nil {
-		return gd.Malformed.Wrapf(err, "fingerprint")
+		return "", stamp{}, gd.Malformed.Wrapf(err, "fingerprint")
+	}
+	if at.process, err = strconv.ParseUint(f[8], 10, 64); err != nil {
+		return "", stamp{}, gd.Malformed.Wrapf(err, "process")
 	}
+	at.sent = time.Duration(sent) * time.Millisecond
+	r.Idempotent, r.MayWait, r.Priority = flags&1 != 0, flags&2 != 0, int(priority)
 	r.Left, r.Objective = time.Duration(left)*time.Millisecond, time.Duration(objective)*time.Millisecond
 	r.Fingerprint = quarantine.Fingerprint(fingerprint)
-	return nil
+	return node, at, nil
 }
 
 func encodeLoad(l placement.Load) string {
@@ -97,11 +98,11 @@
 		strconv.Itoa(l.Running), strconv.Itoa(l.Waiting), strconv.Itoa(l.Slots),
 		strconv.FormatInt(l.Mean.Microseconds(), 10), strconv.FormatInt(l.Wait.Microseconds(), 10),
 		strconv.FormatInt(l.Cold.Milliseconds(), 10), strconv.FormatInt(l.Link.Milliseconds(), 10),
-		strconv.FormatFloat(l.Failing, 'f', 3, 64),
+		strconv.FormatInt(l.Way.Milliseconds(), 10), strconv.FormatFloat(l.Failing, 'f', 3, 64),
 	}, " ")
 }
 
-const loadFields = 8
+const loadFields = 9
 
 // decodeLoad reads a load. It reports false for one that cannot be read.
 func decodeLoad(text string) (placement.Load, bool) {
@@ -124,7 +125,8 @@
 	return placement.Load{
 		Running: int(n[0]), Waiting: int(n[1]), Slots: int(n[2]),
 		Mean: time.Duration(n[3]) * time.Microsecond, Wait: time.Duration(n[4]) * time.Microsecond,
-		Cold: time.Duration(n[5]) * time.Millisecond, Link: time.Duration(n[6]) * time.Millisecond, Failing: failing,
+		Cold: time.Duration(n[5]) * time.Millisecond, Link: time.Duration(n[6]) * time.Millisecond,
+		Way: time.Duration(n[7]) * time.Millisecond, Failing: failing,
 	}, true
 }
 
--- /dev/null
+++ b/internal/proxy/peer/peer_test.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/internal/call/placement"
+	"github.com/geraniumdock/geraniumdock/internal/call/request"
+)
+
+const ms = time.Millisecond
+
+// TestTransitTellsQueuesOnTheWay has requests of a node whose clock is 5 s
+// behind arrive after 1 ms, and some after more.
+func TestTransitTellsQueuesOnTheWay(t *testing.T) {
+	const ahead = 5 * time.Second
+	var tr transit
+	for _, c := range []struct {
+		name    string
+		sent    time.Duration
+		process uint64
+		way     time.Duration
+		want    time.Duration
+	}{
+		{"first", 0, 1, 3 * ms, 0},
+		{"shorter", 100 * ms, 1, 1 * ms, 0},
+		{"usual", 200 * ms, 1, 1 * ms, 0},
+		{"behind an upload", 300 * ms, 1, 1200 * ms, 1199 * ms},
+		{"the process has started again", 0, 2, 1 * ms, 0},
+		{"behind an upload after that", 400 * ms, 2, 601 * ms, 600 * ms},
+		{"a span later", transitSpan, 2, 301 * ms, 300 * ms},
+		{"two spans later, when the way is longer", 2 * transitSpan, 2, 301 * ms, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tr.delay(c.sent+ahead+c.way, "node", stamp{c.process, c.sent}), c.want)
+		})
+	}
+}
+
+func TestTransitIsBounded(t *testing.T) {
+	is := is.New(t)
+	var tr transit
+	for i := range 2 * maxOrigins {
+		tr.delay(0, time.Duration(i).String(), stamp{})
+	}
+	is.True(len(tr.origins) <= maxOrigins)
+}
+
+func TestMetaIsReadBack(t *testing.T) {
+	is := is.New(t)
+	r := request.Request{
+		Service: "shop", Caller: "web", Idempotent: true, MayWait: true, Priority: 2,
+		Left: 900 * ms, Objective: -20 * ms, Fingerprint: 77,
+	}
+	var got request.Request
+	node, s, err := decodeMeta(encodeMeta(r, "node-1", stamp{5, 70 * ms}), &got)
+	is.NoErr(err)
+	is.Equal(got, r)
+	is.Equal(node, "node-1")
+	is.Equal(s, stamp{5, 70 * ms})
+	for _, damaged := range []string{"", "a b c", "shop web x 2 900 -20 4d node-1 5 70", "shop web 3 2 900 -20 4d node-1 5 soon"} {
+		_, _, err := decodeMeta(damaged, &got)
+		is.True(err != nil)
+	}
+}
+
+func TestLoadIsReadBack(t *testing.T) {
+	is := is.New(t)
+	l := placement.Load{
+		Running: 1, Waiting: 2, Slots: 3, Mean: 4 * ms, Wait: 5 * ms, Cold: 6 * ms, Link: 7 * ms, Way: 8 * ms, Failing: 0.25,
+	}
+	got, ok := decodeLoad(encodeLoad(l))
+	is.True(ok)
+	is.Equal(got, l)
+	_, ok = decodeLoad("1 2 3")
+	is.True(!ok)
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -80,7 +80,7 @@
 
 // New opens the node's addresses. Start makes it serve.
 func New(cfg Config) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, client: peer.NewClient(cfg.Settings.LinkMbps), listeners: map[string]net.Listener{}, done: make(chan struct{})}
+	s := &Sidecar{cfg: cfg, client: peer.NewClient(cfg.Settings.Node, cfg.Settings.LinkMbps, cfg.Clock), listeners: map[string]net.Listener{}, done: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if err := s.listen(); err != nil {
 		s.closeListeners()
@@ -128,7 +128,7 @@
 		},
 	})
 	s.clients = listener.New(s.ingress, refusals{cfg.Log}, s.limits, spoolBytes)
-	s.peers = peer.NewServer(s.station, s.roster, st.LinkMbps, cfg.Log)
+	s.peers = peer.NewServer(s.station, s.roster, st.LinkMbps, cfg.Clock, cfg.Log)
 	s.gauges()
 	return s, nil
 }
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -21,9 +21,12 @@
 // Do runs the request on the server. The context ends when the client has left
 // or its time is up.
 func (s *Station) Do(ctx context.Context, r request.Request) request.Answer {
+	r.Left -= r.Delayed
+	r.Objective -= r.Delayed
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
 	a := s.do(ctx, r)
 	a.Load, a.HasLoad = s.Load(), true
+	a.Load.Way = r.Delayed
 	if a.Response == nil {
 		cancel()
 		return a
@@ -45,6 +48,11 @@
 	return err
 }
 
+// maxDelay is for how much longer than usual a request may be on its way. The
+// notice that its client has left comes behind it, and a client may not find
+// its request at a server half a second after it left.
+const maxDelay = 400 * time.Millisecond
+
 func (s *Station) do(ctx context.Context, r request.Request) request.Answer {
 	arrived := s.now()
 	if !r.Local && s.link.isLarge(r.Body, r.ContentLength) {
@@ -170,6 +178,8 @@
 // The caller holds s.mu.
 func (s *Station) check(r request.Request) error {
 	switch {
+	case r.Delayed > maxDelay:
+		return gd.QueueFull.Errorf("the request was on its way for %s longer than usual", r.Delayed)
 	case s.left:
 		return gd.Draining.Errorf("node %s is going", s.cfg.Node)
 	case s.stopAt > 0 && s.now()+r.Left > s.stopAt:
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -91,3 +91,20 @@
 	is.NoErr(s.Announced(announcement(clk.Now()+1000, 1)))
 	is.Equal(states, []server.State{server.Gone, server.Up})
 }
+
+// TestDelayedRequest has requests come that were on their way for longer than
+// usual: what is left of their time is shorter, and those that were very late
+// do not reach the server, for their clients may have left.
+func TestDelayedRequest(t *testing.T) {
+	is := is.New(t)
+	s, _ := announced(t)
+	r := request.Request{Service: "shop", Left: time.Second, Objective: time.Second, Delayed: maxDelay + time.Millisecond}
+	a := s.Do(context.Background(), r)
+	is.True(gd.QueueFull.Is(a.Err)) // another server may be asked
+	is.True(a.IsNotRun())
+	is.Equal(a.Load.Way, r.Delayed)
+	r.Delayed, r.Left = maxDelay, maxDelay
+	a = s.Do(context.Background(), r)
+	is.True(gd.Hopeless.Is(a.Err)) // its time is up
+	is.True(a.IsNotRun())
+}
