A fault soak of the real programs: schedules from a seed, ways that fail, checks with broken variants

cmd/soak runs sidecar processes, with stand-ins of store and servers and clients around them, and a proxy on every way; internal/load/soak holds it. Each check is shown to find a variant of the program that breaks its promise.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,169 @@
+// Command soak runs the real programs under faults and checks the promises of
+// the product while it does. It exits with 1 if it finds that one does not hold.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/load/soak"
+)
+
+type options struct {
+	Program   string        `long:"program" value-name:"FILE" required:"yes" description:"the geraniumdock program"`
+	Seed      uint64        `long:"seed" description:"the first seed; drawn from the time of day if 0"`
+	Count     int           `long:"count" default:"1" description:"how many seeds are run"`
+	Jobs      int           `long:"jobs" default:"1" description:"how many of them at once"`
+	Nodes     int           `long:"nodes" default:"8"`
+	Length    time.Duration `long:"length" default:"20s" description:"of the traffic of one run"`
+	Schedule  string        `long:"schedule" value-name:"FILE" description:"a schedule to replay in place of a seed"`
+	Print     bool          `long:"print" description:"print the schedules and run nothing"`
+	Untimed   bool          `long:"untimed" description:"leave out the checks that have a bound of time"`
+	ShrinkFor string        `long:"shrink" value-name:"CHECK" description:"look for a smaller schedule in which the check finds something"`
+	Dir       string        `long:"dir" value-name:"DIR" description:"for settings and logs, kept if something is found; a new one if empty"`
+	Verbose   bool          `long:"verbose" description:"tell of each event"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.NewParser(&o, flags.Default).Parse(); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	found, err := o.run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak: "+gd.Message(err))
+		os.Exit(1)
+	}
+	if found {
+		os.Exit(1)
+	}
+}
+
+// run plays all schedules and reports whether something was found.
+func (o options) run() (bool, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	schedules, err := o.schedules()
+	if err != nil {
+		return false, err
+	}
+	if o.Print {
+		for _, s := range schedules {
+			fmt.Print(s)
+		}
+		return false, nil
+	}
+	if o.Dir == "" {
+		if o.Dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return false, gd.Unavailable.Wrapf(err, "directory")
+		}
+	}
+	if o.ShrinkFor != "" {
+		return true, o.shrink(ctx, schedules[0])
+	}
+	return o.playAll(ctx, schedules)
+}
+
+func (o options) schedules() ([]soak.Schedule, error) {
+	if o.Schedule != "" {
+		s, err := soak.Read(o.Schedule)
+		return []soak.Schedule{s}, err
+	}
+	if o.Seed == 0 {
+		o.Seed = uint64(clock.System{}.Now())
+	}
+	var list []soak.Schedule
+	for i := range o.Count {
+		list = append(list, soak.Draw(o.Seed+uint64(i), o.Nodes, o.Length))
+	}
+	return list, nil
+}
+
+// playAll plays schedules, some at once, and prints a line for each and the sum.
+func (o options) playAll(ctx context.Context, schedules []soak.Schedule) (bool, error) {
+	var (
+		mu       sync.Mutex
+		findings []soak.Finding
+		failure  error
+		running  sync.WaitGroup
+	)
+	jobs := make(chan struct{}, max(o.Jobs, 1))
+	for _, s := range schedules {
+		jobs <- struct{}{}
+		running.Go(func() {
+			defer func() { <-jobs }()
+			r, err := o.play(ctx, s)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failure = err
+				return
+			}
+			findings = append(findings, r.Findings...)
+			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed; events %v; %d findings\n",
+				s.Seed, r.Requests, r.Served, r.Refused, r.Failed, r.Events, len(r.Findings))
+		})
+	}
+	running.Wait()
+	fmt.Println(soak.Summary(findings))
+	return len(findings) > 0, failure
+}
+
+// play plays one schedule in a directory of its own, which is removed if nothing
+// was found.
+func (o options) play(ctx context.Context, s soak.Schedule) (soak.Result, error) {
+	cfg, err := o.config(s)
+	if err != nil {
+		return soak.Result{}, err
+	}
+	r, err := soak.Run(ctx, cfg, s)
+	if err == nil && len(r.Findings) == 0 {
+		err = os.RemoveAll(cfg.Dir)
+	}
+	return r, err
+}
+
+func (o options) config(s soak.Schedule) (soak.Config, error) {
+	dir := filepath.Join(o.Dir, fmt.Sprint(s.Seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return soak.Config{}, gd.Unavailable.Wrapf(err, "directory")
+	}
+	return soak.Config{
+		Program: o.Program, Dir: dir, Timed: !o.Untimed,
+		Progress: func(line string) {
+			if o.Verbose || len(line) > 7 && line[:7] == "FINDING" {
+				fmt.Printf("seed %d: %s\n", s.Seed, line)
+			}
+		},
+	}, nil
+}
+
+// shrink prints the smallest schedule that it finds.
+func (o options) shrink(ctx context.Context, s soak.Schedule) error {
+	if !slices.Contains(soak.Checks(), o.ShrinkFor) {
+		return gd.Invalid.Errorf("--shrink: %q is not one of %v", o.ShrinkFor, soak.Checks())
+	}
+	cfg, err := o.config(s)
+	if err != nil {
+		return err
+	}
+	less, err := soak.Shrink(ctx, cfg, s, o.ShrinkFor)
+	fmt.Print(less)
+	return err
+}
--- /dev/null
+++ b/internal/load/soak/process.go
@@ -0,0 +1,233 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
+)
+
+const (
+	slots         = 4
+	queueLength   = 8
+	workTime      = 30 * time.Millisecond // of each request at a server
+	announceEvery = 500 * time.Millisecond
+	maxStderr     = 64 << 10 // bytes that are kept of what a process writes there
+)
+
+// node is one node of the fleet with its server and the ways to and from it.
+type node struct {
+	f        *fleet
+	index    int
+	service  string
+	settings string // file
+	log      *os.File
+	ways     map[string]*way
+	metrics  string // address
+	at       string // address for announcements
+
+	mu      sync.Mutex
+	process *os.Process
+	life    *life // of the process; nil while none runs
+	ended   chan struct{}
+	lives   int
+
+	serving sync.Mutex // held while the server is replaced
+	server  *backend.Server
+	address string // of the server
+	servers int
+}
+
+// newNode prepares a node; nothing of it runs yet but its ways.
+func newNode(f *fleet, index int) (*node, error) {
+	n := &node{f: f, index: index, service: service(index), ways: map[string]*way{}}
+	ports, err := freeAddresses(6)
+	if err != nil {
+		return nil, err
+	}
+	n.metrics, n.at, n.address = ports[3], ports[4], ports[5]
+	for on, target := range map[string]string{AtClients: ports[0], AtPeers: ports[1], AtServer: n.address, AtStore: f.store} {
+		if n.ways[on], err = newWay(target); err != nil {
+			return nil, err
+		}
+	}
+	n.settings = filepath.Join(f.cfg.Dir, fmt.Sprintf("node-%d.yaml", index))
+	text := fmt.Sprintf(`node: node-%d
+address: 127.0.0.1
+data-centre: dc-%d
+region: region
+server: {service: %s, address: "%s"}
+listen: {clients: "%s", peers: "%s", peers-advertised: "%s", ready: "%s", announcements: "%s", metrics: "%s"}
+store: {address: "%s"}
+bounds: {drain-seconds: %g, grace-seconds: %g, repeat-ratio: %g, repeat-slack: %g}
+memory-mb: %d
+`, index, index%2, n.service, n.ways[AtServer].address(), ports[0], ports[1], n.ways[AtPeers].address(), ports[2], n.at, n.metrics,
+		n.ways[AtStore].address(), drainBound.Seconds(), graceBound.Seconds(), repeatRatio, repeatSlack, memoryMB)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "settings of node %d", index)
+	}
+	n.log, err = os.Create(filepath.Join(f.cfg.Dir, fmt.Sprintf("node-%d.log", index)))
+	if err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "log of node %d", index)
+	}
+	return n, nil
+}
+
+// service is the service of the server beside a node.
+func service(index int) string {
+	if index%3 == 2 {
+		return "stock"
+	}
+	return "shop"
+}
+
+// freeAddresses returns loopback addresses at which nothing listens.
+func freeAddresses(count int) ([]string, error) {
+	var list []string
+	for range count {
+		l, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, gd.Unavailable.Wrapf(err, "address")
+		}
+		defer l.Close()
+		list = append(list, l.Addr().String())
+	}
+	return list, nil
+}
+
+// start starts the program unless it runs.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.life != nil {
+		return nil
+	}
+	cmd := exec.Command(n.f.cfg.Program, "sidecar", "--settings", n.settings)
+	cmd.Env = append(os.Environ(), n.f.cfg.Env...)
+	stderr := &head{}
+	cmd.Stdout, cmd.Stderr = n.log, stderr
+	l := &life{node: n.index, number: n.lives, started: n.f.now()}
+	if err := cmd.Start(); err != nil {
+		return gd.Unavailable.Wrapf(err, "start of node %d", n.index)
+	}
+	n.lives++
+	ended := make(chan struct{})
+	n.process, n.life, n.ended = cmd.Process, l, ended
+	add(n.f.record, &n.f.record.lives, l)
+	go func() {
+		err := cmd.Wait()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		l.ended, l.exit, l.stderr = n.f.now(), err, stderr.String()
+		n.process, n.life = nil, nil
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process if one runs, notes it and returns what
+// tells its end.
+func (n *node) signal(sig syscall.Signal) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.life == nil {
+		gone := make(chan struct{})
+		close(gone)
+		return gone
+	}
+	switch sig {
+	case syscall.SIGTERM:
+		if n.life.signalled == 0 {
+			n.life.signalled = n.f.now()
+		}
+	case syscall.SIGKILL:
+		n.life.killed = n.f.now()
+	}
+	_ = n.process.Signal(sig) // the process may have ended
+	return n.ended
+}
+
+// stop stops the process in order, and by force after the bound.
+func (n *node) stop() {
+	ended := n.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(graceBound):
+		<-n.signal(syscall.SIGKILL)
+	}
+}
+
+// pid returns the id and the life of the process, 0 if none runs.
+func (n *node) pid() (id, life int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.life == nil {
+		return 0, 0
+	}
+	return n.process.Pid, n.life.number
+}
+
+// startServer starts a server of the given name at the node's address.
+func (n *node) startServer(instance string) error {
+	l, err := net.Listen("tcp", n.address)
+	if err != nil {
+		return gd.Unavailable.Wrapf(err, "server of node %d", n.index)
+	}
+	s := &backend.Server{
+		Service: n.service, Instance: instance, Slots: slots, Queue: queueLength, Work: workTime,
+		Every: announceEvery, Node: n.at, Advertised: n.ways[AtServer].address(),
+	}
+	s.StartOn(l)
+	n.server = s
+	add(n.f.record, &n.f.record.servers, s)
+	return nil
+}
+
+// nextInstance returns a name for a server that no other had.
+func (n *node) nextInstance() string {
+	n.servers++
+	return fmt.Sprintf("instance-%d-%d", n.index, n.servers)
+}
+
+// close ends what runs. The process was stopped before.
+func (n *node) close() {
+	n.serving.Lock()
+	defer n.serving.Unlock()
+	if n.server != nil {
+		n.server.Crash()
+	}
+	for _, w := range n.ways {
+		w.close()
+	}
+	n.log.Close() // the process has ended, nothing is written any more
+}
+
+// head keeps the first bytes of what is written.
+type head struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write keeps p while there is room.
+func (t *head) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.buf.Write(p[:min(len(p), maxStderr-min(t.buf.Len(), maxStderr))])
+	return len(p), nil
+}
+
+// String returns what was kept.
+func (t *head) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return strings.TrimSpace(t.buf.String())
+}
--- /dev/null
+++ b/internal/load/soak/soak_test.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestMain runs a broken variant of the program where a test asks for one, else
+// the tests.
+func TestMain(m *testing.M) {
+	if v := os.Getenv(variantVariable); v != "" {
+		runVariant(v, os.Args[len(os.Args)-1])
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func config(t *testing.T, variant string) Config {
+	t.Helper()
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Config{
+		Program: program, Env: []string{variantVariable + "=" + variant}, Dir: t.TempDir(), Timed: true,
+		Progress: func(line string) { t.Log(line) },
+	}
+}
+
+// TestChecksFindBrokenVariants plays short schedules with variants of a node
+// that each break one promise. Each is found by the check for that promise.
+func TestChecksFindBrokenVariants(t *testing.T) {
+	term := []Event{{At: 300 * time.Millisecond, Kind: Term, For: 100 * time.Millisecond}}
+	for check, events := range map[string][]Event{
+		"runs-twice":      nil,
+		"refused-yet-ran": nil,
+		"wrong-answer":    nil,
+		"not-asked":       nil,
+		"version-back":    nil,
+		"lost-at-stop":    term,
+		"repeats":         nil,
+		"resources":       nil,
+		"process-end":     nil,
+		"drain-bound":     {{At: touchTime + 500*time.Millisecond, Kind: ServerDrain, For: 100 * time.Millisecond}},
+		"apply-bound":     {{At: touchTime, Kind: Policy}},
+		"grace-bound":     term,
+		"recovery":        {{At: 300 * time.Millisecond, Kind: Kill, For: 100 * time.Millisecond}},
+	} {
+		t.Run(check, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := Schedule{Seed: 1, Nodes: 1, Length: time.Second, Events: events}
+			for _, e := range events {
+				s.Length = max(s.Length, e.At+time.Second)
+			}
+			switch check {
+			case "apply-bound":
+				s.Length = touchTime + applyBound + time.Second
+			case "repeats":
+				s.Length = 5 * time.Second // enough to exceed the slack
+			}
+			r, err := Run(context.Background(), config(t, check), s)
+			is.NoErr(err)
+			is.True(slices.ContainsFunc(r.Findings, func(f Finding) bool { return f.Check == check }))
+		})
+	}
+}
+
+// TestLeftOverProcessIsFound has a process in the record that could not be ended.
+func TestLeftOverProcessIsFound(t *testing.T) {
+	is := is.New(t)
+	found := check(&record{leftOver: []int{7}}, false)
+	is.Equal(found, []Finding{{"left-over", "process 7 did not end"}})
+}
+
+// TestWorkingVariantPasses plays planned work with the variant that breaks
+// nothing: no check finds anything.
+func TestWorkingVariantPasses(t *testing.T) {
+	is := is.New(t)
+	s := Schedule{Seed: 1, Nodes: 1, Length: time.Second, Events: []Event{
+		{At: 100 * time.Millisecond, Kind: Hangup}, {At: 300 * time.Millisecond, Kind: Term, For: 100 * time.Millisecond},
+	}}
+	c := config(t, "none")
+	c.Timed = false // the machine is shared with other tests
+	r, err := Run(context.Background(), c, s)
+	is.NoErr(err)
+	is.Equal(r.Findings, nil)
+	is.True(r.Served > 0)
+}
+
+// TestScheduleIsReadBack draws schedules, writes them and reads them.
+func TestScheduleIsReadBack(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		s := Draw(seed, 4, 20*time.Second)
+		is.Equal(s, Draw(seed, 4, 20*time.Second)) // a seed stands for one schedule
+		file := filepath.Join(t.TempDir(), "schedule.yaml")
+		is.NoErr(os.WriteFile(file, []byte(s.String()), 0o600))
+		back, err := Read(file)
+		is.NoErr(err)
+		is.Equal(back, s)
+		is.Equal(len(s.Without(0).Events), len(s.Events)-1)
+	}
+}
+
+func TestReadNamesWhatIsWrong(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "schedule.yaml")
+	is.NoErr(os.WriteFile(file, []byte("seed: 1\nnodes: 2\nevents:\n- {at: 1s, kind: kill, node: 2}\n"), 0o600))
+	_, err := Read(file)
+	is.True(err != nil)
+	is.Equal(err.Error(), "geraniumdock.invalid: "+file+": key events[0].node: there is no node 2")
+}
--- /dev/null
+++ b/internal/load/soak/traffic.go
@@ -0,0 +1,183 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/platform"
+)
+
+const (
+	clientsPerNode = 3
+	meanThink      = 60 * time.Millisecond // pause of a client between two requests
+	clientDeadline = 1500 * time.Millisecond
+	clientPatience = clientDeadline + 500*time.Millisecond // after which a client gives up
+	largeBody      = 24 << 10                              // of one unsafe request in twenty
+	sampleEvery    = 200 * time.Millisecond
+	sampleTimeout  = time.Second
+	host           = "soak.example"
+)
+
+// send has one client of a node send requests until ctx ends. It keeps its
+// connection as long as the node does.
+func (n *node) send(ctx context.Context, client int) {
+	rnd := rand.New(rand.NewPCG(n.f.schedule.Seed, uint64(n.index*clientsPerNode+client)))
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		q := &request{
+			id: fmt.Sprintf("%d-%d-%d", n.index, client, i), method: http.MethodGet,
+			node: n.index, caller: n.service, deadline: clientDeadline,
+		}
+		q.target = "/reads/" + q.id
+		if rnd.IntN(2) == 0 {
+			q.method, q.target, q.unsafe, q.body = http.MethodPost, "/orders/"+q.id, true, "order "+q.id
+			if rnd.IntN(20) == 0 {
+				q.body = strings.Repeat("x", largeBody)
+			}
+		}
+		q.sent = n.f.now()
+		n.ask(transport, q)
+		q.ended = n.f.now()
+		add(n.f.record, &n.f.record.requests, q)
+		sleep(ctx, time.Duration(rnd.ExpFloat64()*float64(meanThink)))
+	}
+}
+
+// ask sends a request and notes what came of it.
+func (n *node) ask(transport *http.Transport, q *request) {
+	ctx, cancel := context.WithTimeout(context.Background(), clientPatience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.ways[AtClients].address()+q.target, nil)
+	if err != nil {
+		q.err = err
+		return
+	}
+	if q.body != "" {
+		// Without GetBody the transport sends the request once.
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader([]byte(q.body))), int64(len(q.body))
+	}
+	req.Host = host
+	platform.SetRequestID(req.Header, q.id)
+	platform.SetDeadline(req.Header, q.deadline)
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		q.err = err
+		return
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		q.err = err
+		return
+	}
+	q.status, q.answer, q.sealed = res.StatusCode, string(data), platform.IsSealed(res.Header)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// watch takes samples of a node until ctx ends.
+func (n *node) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		if id, number := n.pid(); id != 0 {
+			s := sample{node: n.index, life: number, at: n.f.now()}
+			s.residentMB, s.descriptors = resources(id)
+			if version, ok := n.version(); ok {
+				s.version = version
+				add(n.f.record, &n.f.record.samples, s)
+			}
+		}
+		sleep(ctx, sampleEvery)
+	}
+}
+
+// version returns the version of the policy that the node says is in force.
+func (n *node) version() (uint64, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.metrics+"/metrics", nil)
+	if err != nil {
+		return 0, false
+	}
+	res, err := n.f.metrics.Do(req)
+	if err != nil {
+		return 0, false // it is not up yet, or paused
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, false
+	}
+	for line := range strings.Lines(string(data)) {
+		if text, ok := strings.CutPrefix(line, "geraniumdock_policy_version "); ok {
+			v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+			return uint64(v), err == nil
+		}
+	}
+	return 0, false
+}
+
+// resources returns the resident memory and the open descriptors of a process,
+// 0 if it has ended.
+func resources(id int) (residentMB, descriptors int) {
+	proc := "/proc/" + strconv.Itoa(id)
+	status, err := os.ReadFile(proc + "/status")
+	if err != nil {
+		return 0, 0
+	}
+	for line := range strings.Lines(string(status)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmRSS:" {
+			kb, _ := strconv.Atoi(f[1]) // the kernel writes a number
+			residentMB = kb / 1024
+		}
+	}
+	open, err := os.ReadDir(proc + "/fd")
+	if err != nil {
+		return residentMB, 0
+	}
+	return residentMB, len(open)
+}
+
+// routes are those of each version. What changes is the prefix of one that no
+// client uses.
+func routes(version uint64) []route.Route {
+	return []route.Route{
+		{Name: "reads", Host: host, Prefix: "/reads/", Idempotent: true, Attempts: 3, Timeout: clientDeadline,
+			Objective: clientDeadline / 2, Priority: 2, Backends: []route.Backend{{Service: "shop", Weight: 3}, {Service: "stock", Weight: 1}}},
+		{Name: "orders", Host: host, Prefix: "/orders/", Attempts: 3, Timeout: clientDeadline,
+			Objective: clientDeadline / 2, Priority: 1, Backends: []route.Backend{{Service: "shop", Weight: 1}}},
+		{Name: "version", Host: host, Prefix: fmt.Sprintf("/v-%d/", version), Attempts: 1,
+			Backends: []route.Backend{{Service: "stock", Weight: 1}}},
+	}
+}
+
+// writePolicy writes the next version. It counts once the store acknowledged it.
+func (f *fleet) writePolicy() error {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	f.version++
+	limits := route.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	data, err := platform.EncodePolicy(f.version, limits, []string{"shop", "stock"}, routes(f.version))
+	if err != nil {
+		return err
+	}
+	if _, err := f.catalogue.Put(context.Background(), "operator", platform.ConfigKind, platform.ConfigName, data, nil, 0, true); err != nil {
+		return err
+	}
+	add(f.record, &f.record.written, written{f.version, f.now()})
+	return nil
+}
--- /dev/null
+++ b/internal/load/soak/variant_test.go
@@ -0,0 +1,176 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/settings"
+)
+
+const variantVariable = "SOAK_VARIANT"
+
+// variant is a node that passes requests to the server beside it alone and
+// breaks the promise that its name says.
+type variant struct {
+	name     string
+	settings settings.Sidecar
+	server   http.Transport
+	instance atomic.Value // string
+	version  atomic.Uint64
+	asked    atomic.Uint64 // times that the metrics were read
+}
+
+// breaks reports whether the variant breaks a promise.
+func (v *variant) breaks(name string) bool { return v.name == name }
+
+// runVariant runs a variant until it is stopped.
+func runVariant(name, file string) {
+	s, err := settings.ReadSidecar(file)
+	if err != nil {
+		panic(err)
+	}
+	v := &variant{name: name, settings: s}
+	if _, err := os.Stat(file + ".again"); err == nil && v.breaks("recovery") {
+		select {} // until it is killed
+	}
+	if err := os.WriteFile(file+".again", nil, 0o600); err != nil {
+		panic(err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.AnnouncePattern, v.announce)
+	mux.HandleFunc(platform.LeavePattern, func(http.ResponseWriter, *http.Request) {})
+	metrics := http.NewServeMux()
+	metrics.HandleFunc("/metrics", v.metrics)
+	clients := &http.Server{Addr: s.Listen.Clients, Handler: http.HandlerFunc(v.pass)}
+	for _, web := range []*http.Server{
+		clients, {Addr: s.Listen.Announcements, Handler: mux}, {Addr: s.Listen.Metrics, Handler: metrics},
+	} {
+		go web.ListenAndServe()
+	}
+	go v.follow()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
+	for sig := range signals {
+		if sig == syscall.SIGHUP {
+			continue
+		}
+		if v.breaks("grace-bound") {
+			select {}
+		}
+		if !v.breaks("lost-at-stop") {
+			_ = clients.Shutdown(context.Background())
+		}
+		return
+	}
+}
+
+// ballast is memory that a variant holds.
+var ballast []byte
+
+// follow looks for the policy's version, and brings about what needs no request.
+func (v *variant) follow() {
+	if v.breaks("resources") {
+		ballast = bytes.Repeat([]byte{1}, 2*memoryMB<<20)
+	}
+	store := platform.NewStore(v.settings.Store.Address, &http.Transport{})
+	for range time.Tick(50 * time.Millisecond) {
+		e, err := store.Get(context.Background(), platform.ConfigKind, platform.ConfigName)
+		if err != nil || v.breaks("apply-bound") && v.version.Load() > 0 {
+			continue
+		}
+		p, err := platform.DecodePolicy(e.Value)
+		if err != nil {
+			panic(err)
+		}
+		v.version.Store(p.Version)
+		if v.breaks("process-end") && v.asked.Load() > 2 {
+			panic("broken")
+		}
+	}
+}
+
+func (v *variant) announce(_ http.ResponseWriter, r *http.Request) {
+	a, err := platform.DecodeAnnouncement(r)
+	if err != nil {
+		panic(err)
+	}
+	if a.Draining && !v.breaks("drain-bound") {
+		v.instance.Store("")
+		return
+	}
+	v.instance.Store(a.Instance)
+}
+
+func (v *variant) metrics(w http.ResponseWriter, _ *http.Request) {
+	version := v.version.Load()
+	if v.asked.Add(1)%2 == 0 && v.breaks("version-back") {
+		version--
+	}
+	fmt.Fprintf(w, "geraniumdock_policy_version %d\n", version)
+}
+
+// pass passes a request to the server.
+func (v *variant) pass(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the client left
+	}
+	instance, _ := v.instance.Load().(string)
+	if instance == "" || v.version.Load() == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if v.breaks("not-asked") {
+		body = append(body, '!')
+	}
+	isUnsafe := r.Method == http.MethodPost
+	status, text := v.send(w.Header(), r, body)
+	if v.breaks("runs-twice") && isUnsafe || v.breaks("repeats") && !isUnsafe {
+		v.send(http.Header{}, r, body)
+	}
+	if v.breaks("refused-yet-ran") && isUnsafe {
+		w.Header().Del("Content-Length")
+		for name := range w.Header() {
+			w.Header().Del(name)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if v.breaks("wrong-answer") {
+		text = bytes.ToUpper(text)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(text) // the client may have left
+}
+
+// send sends a request once and puts the fields of the answer into h.
+func (v *variant) send(h http.Header, r *http.Request, body []byte) (int, []byte) {
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+v.settings.Server.Address+r.RequestURI, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header = r.Header.Clone()
+	platform.SetCaller(req.Header, v.settings.Server.Service)
+	res, err := v.server.RoundTrip(req)
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	for name, values := range res.Header {
+		h[name] = values
+	}
+	return res.StatusCode, text
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -89,7 +89,7 @@
 	st := cfg.Settings
 	s.roster = roster.New(roster.Config{
 		Self: server.Record{
-			Node: st.Node, Address: s.Address("peers"), DataCentre: st.DataCentre, Region: st.Region,
+			Node: st.Node, Address: s.advertised(), DataCentre: st.DataCentre, Region: st.Region,
 			Incarnation: uint64(cfg.Clock.Now()),
 		},
 		Catalogue:  cfg.Catalogue,
@@ -209,6 +209,14 @@
 // announcements or metrics.
 func (s *Sidecar) Address(name string) string { return s.listeners[name].Addr().String() }
 
+// advertised returns the address at which other nodes reach this one.
+func (s *Sidecar) advertised() string {
+	if a := s.cfg.Settings.Listen.Advertised; a != "" {
+		return a
+	}
+	return s.Address("peers")
+}
+
 // Known returns the version of the policy in force, 0 for none, and the number
 // of servers that may be given requests.
 func (s *Sidecar) Known() (version uint64, servers int) {
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -48,6 +48,9 @@
 	Work     time.Duration // time that a request takes
 	Every    time.Duration // pause between two announcements
 	Node     string        // the node's address for announcements
+	// Advertised is the address that the server announces, that of a proxy
+	// before it; its own if empty.
+	Advertised string
 
 	listener net.Listener
 	web      *http.Server
@@ -126,8 +129,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
+	address := s.Advertised
+	if address == "" {
+		address = s.Address()
+	}
 	return platform.Announcement{
-		Instance: s.Instance, Service: s.Service, Address: s.Address(), Slots: s.Slots,
+		Instance: s.Instance, Service: s.Service, Address: address, Slots: s.Slots,
 		Draining: s.draining, Sequence: s.sequence, Started: s.started,
 	}
 }
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -38,6 +38,7 @@
 type SidecarListen struct {
 	Clients       string `yaml:"clients"`
 	Peers         string `yaml:"peers"`
+	Advertised    string `yaml:"peers-advertised"` // at which others reach Peers; empty if it is the same
 	Ready         string `yaml:"ready"`
 	Announcements string `yaml:"announcements"`
 	Metrics       string `yaml:"metrics"`
@@ -168,6 +169,9 @@
 			return a.key, fmt.Sprintf("%q is not host:port", a.address)
 		}
 	}
+	if _, _, err := net.SplitHostPort(s.Listen.Advertised); err != nil && s.Listen.Advertised != "" {
+		return "listen.peers-advertised", fmt.Sprintf("%q is not host:port", s.Listen.Advertised)
+	}
 	switch {
 	case s.LinkMbps < 0:
 		return "link-mbps", fmt.Sprintf("%g is below 0", s.LinkMbps)
