--- a/cmd/geraniumdock/operator.go
+++ b/cmd/geraniumdock/operator.go
@@ -59,7 +59,7 @@
 	for _, l := range lines {
 		fmt.Fprintln(w, l)
 	}
-	w.Flush()
+	_ = w.Flush() // nobody is left to tell
 }
 
 type getCommand struct {
--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -12,7 +11,6 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -25,6 +23,8 @@
 	"github.com/geraniumdock/geraniumdock/identity"
 	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
 	"github.com/geraniumdock/geraniumdock/internal/store/object"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/sink"
 	"github.com/geraniumdock/geraniumdock/node"
 	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/settings"
@@ -32,8 +32,6 @@
 )
 
 const (
-	logFlush   = 200 * time.Millisecond
-	logBuffer  = 64 << 10
 	demoLimit  = 30 * time.Second
 	privateKey = 0o600
 	publicFile = 0o644
@@ -50,9 +48,10 @@
 	if err != nil {
 		return err
 	}
-	out := newLogWriter(os.Stderr)
+	var log hclog.Logger
+	out := sink.New(os.Stderr, func(dropped uint64) { log.Warn(event.Dropped, "count", dropped) })
 	defer out.Close()
-	log := hclog.New(&hclog.LoggerOptions{Name: "geraniumdock", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: out})
+	log = hclog.New(&hclog.LoggerOptions{Name: "geraniumdock", Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON, Output: out})
 	cfg, err := nodeConfig(s, log)
 	if err != nil {
 		return err
@@ -105,55 +104,6 @@
 	}, nil
 }
 
-// logWriter writes log lines in batches, so that a line for each call costs
-// no system call of its own.
-type logWriter struct {
-	mu   sync.Mutex
-	buf  *bufio.Writer
-	stop chan struct{}
-	done sync.WaitGroup
-}
-
-func newLogWriter(to io.Writer) *logWriter {
-	w := &logWriter{buf: bufio.NewWriterSize(to, logBuffer), stop: make(chan struct{})}
-	w.done.Go(w.flushAll)
-	return w
-}
-
-func (w *logWriter) flushAll() {
-	tick := time.NewTicker(logFlush)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			w.flush()
-		case <-w.stop:
-			w.flush()
-			return
-		}
-	}
-}
-
-func (w *logWriter) flush() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.buf.Flush() // nowhere is left to report a failure
-}
-
-// Write buffers p.
-func (w *logWriter) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.buf.Write(p)
-}
-
-// Close writes what is buffered.
-func (w *logWriter) Close() error {
-	close(w.stop)
-	w.done.Wait()
-	return nil
-}
-
 type checkCommand struct {
 	Sheet string `long:"sheet" choice:"rows" choice:"services" choice:"callers" default:"rows" description:"sheet that CSV files hold"`
 	Args  struct {
--- a/demo/backend.go
+++ b/demo/backend.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b.listener, b.stop, b.runs, b.started = l, cancel, map[string]int{}, clock.System{}.Now()
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
-	b.done.Go(func() { b.server.Serve(l) })
+	b.done.Go(func() { _ = b.server.Serve(l) }) // it ends with the listener
 	b.done.Go(func() { b.announceAll(ctx, announceAddress) })
 	return nil
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -75,9 +76,12 @@
 }
 
 func (d *demo) close() {
-	d.fleet.Close()
+	err := d.fleet.Close()
 	for _, b := range d.backends {
-		b.Close()
+		err = errors.Join(err, b.Close())
+	}
+	if err != nil {
+		d.say("close: %s", gd.Message(err))
 	}
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -146,10 +147,11 @@
 
 // Close closes the nodes one after the other.
 func (f *Fleet) Close() error {
+	var errs []error
 	for _, n := range f.Nodes {
-		n.Close()
+		errs = append(errs, n.Close())
 	}
-	return nil
+	return errors.Join(errs...)
 }
 
 // Set returns a change of a cell in the sheet of rows.
--- a/examples/backend/main.go
+++ b/examples/backend/main.go
@@ -33,5 +33,8 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
-	b.Close()
+	if err := b.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 }
--- a/internal/load/soak/check.go
+++ b/internal/load/soak/check.go
@@ -281,7 +281,7 @@
 		paused := slices.ContainsFunc(v.events, func(e Event) bool {
 			return e.Kind == Pause && e.Node == l.node && e.At < l.ended && e.At+e.For > l.signalled
 		})
-		if l.signalled > 0 && l.killed > l.signalled && !paused {
+		if l.signalled > 0 && l.killed >= l.signalled+graceBound && !paused {
 			found = append(found, fmt.Sprintf("node %d still ran %s after SIGTERM", l.node, graceBound))
 		}
 	}
--- a/internal/store/object/http.go
+++ b/internal/store/object/http.go
@@ -111,7 +111,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(v) // a failed write shows at the client as a cut answer
+	_ = json.NewEncoder(w).Encode(v) // a failed write shows at the client as a cut answer
 }
 
 // Remote is a Store served over HTTP by NewHandler.
--- a/internal/telemetry/sink/sink.go
+++ b/internal/telemetry/sink/sink.go
@@ -97,7 +97,7 @@
 const closeWait = time.Second
 
 // Close writes what is kept, waiting a second at most.
-func (w *Writer) Close() error {
+func (w *Writer) Close() {
 	close(w.stop)
 	t := time.NewTimer(closeWait)
 	defer t.Stop()
@@ -105,5 +105,4 @@
 	case <-w.done:
 	case <-t.C:
 	}
-	return nil
 }
--- a/link/link.go
+++ b/link/link.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -186,7 +187,7 @@
 	}
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		conn.CloseWithError(0, "no stream")
+		_ = conn.CloseWithError(0, "no stream") // the first error says more
 		return nil, err
 	}
 	return &Conn{conn: conn, stream: stream, peer: identity.PeerName(conn.ConnectionState().TLS)}, nil
@@ -218,7 +219,7 @@
 	defer cancel()
 	stream, err := conn.AcceptStream(ctx)
 	if err != nil {
-		conn.CloseWithError(0, "no stream")
+		_ = conn.CloseWithError(0, "no stream") // the first error says more
 		return nil
 	}
 	return &Conn{conn: conn, stream: stream, peer: identity.PeerName(conn.ConnectionState().TLS)}
@@ -226,8 +227,5 @@
 
 // Close ends all links of the endpoint.
 func (e *Endpoint) Close() error {
-	err := e.listener.Close()
-	e.local.Close()
-	e.local.Conn.Close()
-	return err
+	return errors.Join(e.listener.Close(), e.local.Close(), e.local.Conn.Close())
 }
--- a/node/call.go
+++ b/node/call.go
@@ -221,7 +221,7 @@
 		h.Set("Proxy-Authenticate", "Bearer")
 	}
 	w.WriteHeader(a.Status)
-	json.NewEncoder(w).Encode(wireError{a.Name, string(a.Outcome), gd.Message(err), a.RetryAfter.Milliseconds()})
+	_ = json.NewEncoder(w).Encode(wireError{a.Name, string(a.Outcome), gd.Message(err), a.RetryAfter.Milliseconds()})
 }
 
 // wireError is the body of an answer that the system itself gives.
--- a/node/node.go
+++ b/node/node.go
@@ -166,7 +166,7 @@
 		}
 	}
 	if n.endpoint != nil {
-		n.endpoint.Close()
+		_ = n.endpoint.Close() // the node ends
 	}
 }
 
--- a/node/station.go
+++ b/node/station.go
@@ -235,7 +235,7 @@
 
 func (s *station) close() {
 	s.calls.Wait()
-	s.claims.Close()
+	_ = s.claims.Close() // it only waits
 	s.client.CloseIdleConnections()
 }
 
--- a/node/uplink.go
+++ b/node/uplink.go
@@ -42,7 +42,7 @@
 
 // write sends until the link fails or is closed.
 func (l *peerLink) write() {
-	defer l.conn.Close()
+	defer l.close()
 	for {
 		select {
 		case data := <-l.out:
@@ -109,12 +109,12 @@
 }
 
 // close ends the link; its reader notices.
-func (l *peerLink) close() { l.conn.Close() }
+func (l *peerLink) close() { _ = l.conn.Close() } // it is given up
 
 // read passes on messages until the link ends.
 func (l *peerLink) read(handle func(relay.Message)) {
 	defer close(l.done)
-	defer l.conn.Close()
+	defer l.close()
 	for {
 		data, err := l.conn.Receive()
 		if err != nil {
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -59,7 +59,7 @@
 		w.WriteHeader(k.Answer().Status)
 		v = wireError{k.String(), gd.Message(err)}
 	}
-	json.NewEncoder(w).Encode(v) // a failed write shows at the reader as a cut answer
+	_ = json.NewEncoder(w).Encode(v) // a failed write shows at the reader as a cut answer
 }
 
 // ReadJSON reads a request's body and refuses unknown keys.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -31,10 +31,10 @@
 func Of(caller, method, target string, body []byte) Fingerprint {
 	h := xxhash.New()
 	for _, s := range []string{caller, method, target} {
-		h.WriteString(s)
-		h.Write([]byte{0})
+		_, _ = h.WriteString(s) // a hash takes everything
+		_, _ = h.Write([]byte{0})
 	}
-	h.Write(body)
+	_, _ = h.Write(body)
 	return Fingerprint(h.Sum64())
 }
 
--- a/server/record.go
+++ b/server/record.go
@@ -157,7 +157,7 @@
 				b = append(b, byte(n>>(8*i)))
 			}
 		}
-		h.Write(b)
+		_, _ = h.Write(b) // a hash takes everything
 	}
 	return h.Sum64()
 }
