--- a/internal/load/soak/process.go
+++ b/internal/load/soak/process.go
@@ -66,7 +66,7 @@
 data-centre: dc-%d
 region: region
 server: {service: %s, address: "%s"}
-listen: {clients: "%s", peers: "%s", peers-advertised: "%s", ready: "%s", announcements: "%s", metrics: "%s"}
+listen: {clients: "%s", peers: "%s", advertise: "%s", ready: "%s", announcements: "%s", metrics: "%s"}
 store: {address: "%s"}
 bounds: {drain-seconds: %g, grace-seconds: %g, repeat-ratio: %g, repeat-slack: %g}
 memory-mb: %d
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -211,7 +211,7 @@
 
 // advertised returns the address at which other nodes reach this one.
 func (s *Sidecar) advertised() string {
-	if a := s.cfg.Settings.Listen.Advertised; a != "" {
+	if a := s.cfg.Settings.Listen.Advertise; a != "" {
 		return a
 	}
 	return s.Address("peers")
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -38,7 +38,7 @@
 type SidecarListen struct {
 	Clients       string `yaml:"clients"`
 	Peers         string `yaml:"peers"`
-	Advertised    string `yaml:"peers-advertised"` // at which others reach Peers; empty if it is the same
+	Advertise     string `yaml:"advertise"` // at which others reach Peers; empty if it is the same
 	Ready         string `yaml:"ready"`
 	Announcements string `yaml:"announcements"`
 	Metrics       string `yaml:"metrics"`
@@ -169,8 +169,8 @@
 			return a.key, fmt.Sprintf("%q is not host:port", a.address)
 		}
 	}
-	if _, _, err := net.SplitHostPort(s.Listen.Advertised); err != nil && s.Listen.Advertised != "" {
-		return "listen.peers-advertised", fmt.Sprintf("%q is not host:port", s.Listen.Advertised)
+	if _, _, err := net.SplitHostPort(s.Listen.Advertise); err != nil && s.Listen.Advertise != "" {
+		return "listen.advertise", fmt.Sprintf("%q is not host:port", s.Listen.Advertise)
 	}
 	switch {
 	case s.LinkMbps < 0:
