--- a/internal/proxy/peer/peer_test.go
+++ b/internal/proxy/peer/peer_test.go
@@ -1,13 +1,18 @@
 package peer
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
+	"github.com/geraniumdock/geraniumdock/internal/mutate"
 )
 
 const ms = time.Millisecond
@@ -78,3 +83,39 @@
 	_, ok = decodeLoad("1 2 3")
 	is.True(!ok)
 }
+
+// TestDamagedFields reads damaged copies of what nodes send each other.
+func TestDamagedFields(t *testing.T) {
+	meta := encodeMeta(request.Request{Service: "shop", Caller: "web", Left: time.Second}, "node-1", stamp{5, ms})
+	for damaged := range mutate.Copies([]byte(meta), 2000) {
+		readFields(t, string(damaged))
+	}
+	message, err := cbor.Marshal(roster.Message{Node: "node-1", Version: 3, Policy: []byte("policy")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for damaged := range mutate.Copies(message, 2000) {
+		_, _ = decodeMessage(bytes.NewReader(damaged)) // it must not panic
+	}
+}
+
+// readFields checks that a request whose fields are taken has times that can be
+// counted with.
+func readFields(t *testing.T, text string) {
+	var r request.Request
+	if _, _, err := decodeMeta(text, &r); err != nil && !gd.Malformed.Is(err) {
+		t.Fatalf("%q: %v", text, err)
+	}
+	decodeLoad(text)
+}
+
+func FuzzDecodeMeta(f *testing.F) {
+	f.Add(encodeMeta(request.Request{Service: "shop", Left: time.Second}, "node-1", stamp{5, ms}))
+	f.Add(encodeLoad(placement.Load{Slots: 2}))
+	f.Fuzz(readFields)
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	f.Add([]byte{0xa1, 0x01, 0x61, 0x61})
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = decodeMessage(bytes.NewReader(data)) })
+}
--- a/settings/sidecar_test.go
+++ b/settings/sidecar_test.go
@@ -78,3 +78,12 @@
 		})
 	}
 }
+
+func FuzzParseSidecar(f *testing.F) {
+	f.Add([]byte(sidecarFile))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := ParseSidecar(data, "f"); err != nil && !gd.Invalid.Is(err) {
+			t.Fatal(err)
+		}
+	})
+}
