A busy link counts double, and no longer than it is busy

Now it counts down, and twice, for a body delays what comes behind it as well. The test fails without. Soak: nodes listen at ports below those of outgoing connections; two runs at once had taken each other's, and a way led into itself until descriptors ran out.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -112,6 +112,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
+				fmt.Printf("seed %d: %s\n", s.Seed, gd.Message(err))
 				failure = err
 				return
 			}
--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -35,6 +35,7 @@
 	coldFactor     = 2                      // a cold server takes this many times longer
 	unreachableFor = 500 * time.Millisecond // first pause after a node could not be reached
 	maxUnreachable = 8 * time.Second
+	linkFactor     = 2   // a body on a busy link delays what comes behind it as well
 	exploring      = 0.1 // share of the choices in which a server of which nothing is known goes first
 )
 
@@ -197,7 +198,7 @@
 		cost += e.farCost(class)
 	}
 	if e.bytes[class] > LargeBody && r.Node != e.node {
-		cost += n.load.Link
+		cost += linkFactor * n.link(now)
 	}
 	return cost + time.Duration(jitter*e.rnd.Float64()*float64(mean))
 }
@@ -274,14 +275,18 @@
 
 // wait returns the wait at node of a request of the class, as the node last told
 // of it.
-func (e *Estimates) wait(class, node string) time.Duration {
-	load := e.of(node).load
+func (e *Estimates) wait(now time.Duration, class, node string) time.Duration {
+	n := e.of(node)
 	if e.bytes[class] > LargeBody && node != e.node {
-		return load.Wait + load.Link
+		return n.load.Wait + linkFactor*n.link(now)
 	}
-	return load.Wait
+	return n.load.Wait
 }
 
+// link returns the time until the large bodies that the node last told of have
+// arrived.
+func (n *estimate) link(now time.Duration) time.Duration { return max(0, n.load.Link-(now-n.heard)) }
+
 // Failed notes that the server of node failed a request.
 func (e *Estimates) Failed(now time.Duration, node string) {
 	n := e.of(node)
--- a/internal/call/placement/placement_test.go
+++ b/internal/call/placement/placement_test.go
@@ -246,3 +246,21 @@
 	is.Equal(len(at), 1) // once known, it is the slowest
 	is.True(at[0] < 100) // within a second at 100 requests a second
 }
+
+// TestBusyLinkIsAvoidedWhileItIsBusy has uploads choose between a server of the
+// own data centre whose link is busy and one of another.
+func TestBusyLinkIsAvoidedWhileItIsBusy(t *testing.T) {
+	is := is.New(t)
+	e, serving := estimates(), records(2, "a", "b")
+	e.Transferred("upload", 60<<10)
+	e.Heard(0, "n0", Load{Slots: 2, Mean: 100 * ms, Link: 200 * ms})
+	e.Heard(0, "n1", Load{Slots: 2, Mean: 100 * ms})
+	for _, c := range []struct {
+		now  time.Duration
+		want string
+	}{{0, "n1"}, {200 * ms, "n0"}} { // by then the bodies have arrived
+		r, _, ok := e.Choose(c.now, "upload", serving, nil)
+		is.True(ok)
+		is.Equal(r.Node, c.want)
+	}
+}
--- a/internal/call/placement/search.go
+++ b/internal/call/placement/search.go
@@ -65,7 +65,7 @@
 	if len(s.asked) < probes && !(s.ended && canWait) {
 		probed, _, canProbe := e.Choose(now, class, serving, s.asked)
 		isNearer := canWait && e.distance(waiting) < e.distance(probed)
-		if canProbe && !(isNearer && e.wait(class, waiting.Node) < e.farCost(class)) {
+		if canProbe && !(isNearer && e.wait(now, class, waiting.Node) < e.farCost(class)) {
 			return probed, false, true
 		}
 	}
--- a/internal/load/soak/process.go
+++ b/internal/load/soak/process.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,12 +51,12 @@
 // newNode prepares a node; nothing of it runs yet but its ways.
 func newNode(f *fleet, index int) (*node, error) {
 	n := &node{f: f, index: index, service: service(index), ways: map[string]*way{}}
-	ports, err := freeAddresses(6)
+	free, err := freeAddresses(6)
 	if err != nil {
 		return nil, err
 	}
-	n.metrics, n.at, n.address = ports[3], ports[4], ports[5]
-	for on, target := range map[string]string{AtClients: ports[0], AtPeers: ports[1], AtServer: n.address, AtStore: f.store} {
+	n.metrics, n.at, n.address = free[3], free[4], free[5]
+	for on, target := range map[string]string{AtClients: free[0], AtPeers: free[1], AtServer: n.address, AtStore: f.store} {
 		if n.ways[on], err = newWay(target); err != nil {
 			return nil, err
 		}
@@ -70,7 +71,7 @@
 store: {address: "%s"}
 bounds: {drain-seconds: %g, grace-seconds: %g, repeat-ratio: %g, repeat-slack: %g}
 memory-mb: %d
-`, index, index%2, n.service, n.ways[AtServer].address(), ports[0], ports[1], n.ways[AtPeers].address(), ports[2], n.at, n.metrics,
+`, index, index%2, n.service, n.ways[AtServer].address(), free[0], free[1], n.ways[AtPeers].address(), free[2], n.at, n.metrics,
 		n.ways[AtStore].address(), drainBound.Seconds(), graceBound.Seconds(), repeatRatio, repeatSlack, memoryMB)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, gd.Unavailable.Wrapf(err, "settings of node %d", index)
@@ -90,18 +91,33 @@
 	return "shop"
 }
 
+// Ports that nodes and servers listen at. The kernel takes those of outgoing
+// connections from above, so none of these is taken between two processes.
+const (
+	firstPort = 12_000
+	ports     = 20_000
+)
+
+// nextPort counts the ports that were looked at.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 997) } // apart from those of other soaks
+
 // freeAddresses returns loopback addresses at which nothing listens.
 func freeAddresses(count int) ([]string, error) {
 	var list []string
-	for range count {
-		l, err := net.Listen("tcp", loopback)
+	for range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, gd.Unavailable.Wrapf(err, "address")
+			continue // somebody else's
+		}
+		l.Close()
+		if list = append(list, address); len(list) == count {
+			return list, nil
 		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
 	}
-	return list, nil
+	return nil, gd.Unavailable.Errorf("no port from %d to %d is free", firstPort, firstPort+ports)
 }
 
 // start starts the program unless it runs.
