--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -39,8 +39,9 @@
 	// noticeTime is how long after SIGTERM the platform may still send clients
 	// here: it asks for readiness once a second and believes the second miss.
 	noticeTime = 2500 * time.Millisecond
-	// stopMargin is how long before the platform kills the process it ends.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is how long before the platform kills the process it answers
+	// the last request. With 0.5 s, some did not end in time on 0.16 of a core.
+	stopMargin = time.Second
 	stopTick   = 50 * time.Millisecond
 	// repeatShare is the part of the platform's retry ratio that a node spends
 	// itself. The calls of a request that runs a second time count as repeats,
