--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -25,15 +25,15 @@
 // Message is what two nodes tell each other. In a question the digests say what
 // the sender has; the answer bears what the sender lacks.
 type Message struct {
-	Node      string              `cbor:"1,keyasint"`
-	Version   uint64              `cbor:"2,keyasint,omitempty"` // of the policy in force
-	Policy    []byte              `cbor:"3,keyasint,omitempty"` // as the catalogue holds it, compressed
-	Directory uint64              `cbor:"4,keyasint,omitempty"` // digest
-	Records   []server.Record     `cbor:"5,keyasint,omitempty"`
-	Register  uint64              `cbor:"6,keyasint,omitempty"` // number of reports
-	Reports   []quarantine.Report `cbor:"7,keyasint,omitempty"`
-	Push      bool                `cbor:"8,keyasint,omitempty"` // no answer is wanted
-	Revision  uint64              `cbor:"9,keyasint,omitempty"` // of the policy's entry
+	Node     string              `cbor:"1,keyasint"`
+	Version  uint64              `cbor:"2,keyasint,omitempty"` // of the policy in force
+	Policy   []byte              `cbor:"3,keyasint,omitempty"` // as the catalogue holds it, compressed
+	Records  []server.Record     `cbor:"5,keyasint,omitempty"`
+	Register uint64              `cbor:"6,keyasint,omitempty"` // number of reports
+	Reports  []quarantine.Report `cbor:"7,keyasint,omitempty"`
+	Push     bool                `cbor:"8,keyasint,omitempty"`  // no answer is wanted
+	Revision uint64              `cbor:"9,keyasint,omitempty"`  // of the policy's entry
+	Digests  []uint32            `cbor:"10,keyasint,omitempty"` // of the parts of the directory
 }
 
 // gossip exchanges with one random node after another.
@@ -83,10 +83,10 @@
 
 func (s *state) digests() Message {
 	return Message{
-		Node:      s.r.cfg.Self.Node,
-		Version:   s.version(),
-		Directory: s.directory.Digest(),
-		Register:  uint64(len(s.register.Reports())),
+		Node:     s.r.cfg.Self.Node,
+		Version:  s.version(),
+		Digests:  s.directory.Digests(),
+		Register: uint64(len(s.register.Reports())),
 	}
 }
 
@@ -199,8 +199,8 @@
 	if s.raw != nil && m.Version < s.version() {
 		a.Policy, a.Revision = s.packed(), s.r.revision.Load()
 	}
-	if m.Directory != a.Directory {
-		a.Records = s.directory.Records()
+	if records := s.directory.Differing(m.Digests); len(records) > 0 {
+		a.Records = records
 	}
 	if m.Register < a.Register {
 		a.Reports = s.register.Reports()
--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -30,13 +30,14 @@
 	pool        *Pool
 	nc          net.Conn
 	br          *bufio.Reader
+	bw          *bufio.Writer
 	used        time.Time
 	idleTimeout time.Duration
 	requests    int
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	return &conn{pool: p, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), idleTimeout: maxIdle}
+	return &conn{pool: p, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), bw: bufio.NewWriterSize(nc, writeBuffer), idleTimeout: maxIdle}
 }
 
 // isSilent reports whether the server has neither closed the idle connection
@@ -94,7 +95,7 @@
 // send writes the request as the client sent it, but for the fields of the
 // connection.
 func (c *conn) send(r Request) error {
-	bw := bufio.NewWriterSize(c.nc, writeBuffer)
+	bw := c.bw
 	bw.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	hasBody := r.Body != nil && r.Body != http.NoBody
 	chunked := hasBody && r.ContentLength < 0
--- a/internal/proxy/peer/handler.go
+++ b/internal/proxy/peer/handler.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -129,11 +130,22 @@
 		h.Set("Content-Length", strconv.FormatInt(a.Response.ContentLength, 10))
 	}
 	w.WriteHeader(a.Response.StatusCode)
-	if _, err := io.Copy(w, a.Response.Body); err != nil {
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	if _, err := io.CopyBuffer(w, a.Response.Body, *buf); err != nil {
 		panic(http.ErrAbortHandler) // the other node must see that the answer was cut
 	}
 }
 
+// copyBuffers hold what is passed on of answers.
+var copyBuffers = sync.Pool{New: func() any {
+	buf := make([]byte, copyBuffer)
+	return &buf
+}}
+
+// copyBuffer is how much of an answer is passed on at once, in bytes.
+const copyBuffer = 8 << 10
+
 func writeFailure(w http.ResponseWriter, a request.Answer) {
 	h := w.Header()
 	outcome := outcomeNotSent
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -145,3 +145,44 @@
 	fmt.Println(c.Server.Node)
 	// Output: tags-2
 }
+
+// TestDifferingRecordsMakeDirectoriesAlike has two directories tell each other
+// the records of the parts in which they differ: then they are alike, and alike
+// ones have nothing to tell.
+func TestDifferingRecordsMakeDirectoriesAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		draw := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
+			return Record{
+				Node: fmt.Sprint("node-", rapid.IntRange(0, 99).Draw(t, "node")), Service: "shop",
+				Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"), Sequence: rapid.Uint64Range(0, 3).Draw(t, "sequence"),
+				State: State(rapid.IntRange(int(Up), int(Gone)).Draw(t, "state")),
+			}
+		}), 0, 60)
+		var one, other Directory
+		common := draw.Draw(t, "common")
+		one, _ = one.WithRecords(common...)
+		other, _ = other.WithRecords(common...)
+		one, _ = one.WithRecords(draw.Draw(t, "one")...)
+		other, _ = other.WithRecords(draw.Draw(t, "other")...)
+		toOther, toOne := one.Differing(other.Digests()), other.Differing(one.Digests())
+		one, _ = one.WithRecords(toOne...)
+		other, _ = other.WithRecords(toOther...)
+		is.Equal(one.Records(), other.Records())
+		is.Equal(len(one.Differing(other.Digests())), 0)
+		is.Equal(one.Differing(nil), one.Records())
+	})
+}
+
+// TestOneChangeIsToldWithFewRecords changes one record of 450.
+func TestOneChangeIsToldWithFewRecords(t *testing.T) {
+	is := is.New(t)
+	var d Directory
+	for i := range 450 {
+		d, _ = d.WithRecords(Record{Node: fmt.Sprint("node-", i), Service: "shop", Incarnation: 1})
+	}
+	next, _ := d.WithRecords(Record{Node: "node-7", Service: "shop", Incarnation: 2})
+	told := next.Differing(d.Digests())
+	is.True(len(told) >= 1)
+	is.True(len(told) <= 2*450/digestParts)
+}
