--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -106,6 +106,9 @@
 	jobs := make(chan struct{}, max(o.Jobs, 1))
 	for _, s := range schedules {
 		jobs <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
 		running.Go(func() {
 			defer func() { <-jobs }()
 			r, err := o.play(ctx, s)
