What waits in vain for its objective may go elsewhere; three nodes are asked before a request waits

Tests fail without.

Three kinds of failures are played on the in-process fleet and explained from their lines; ten thousand failures at once and a log that nobody reads have tests.

--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -259,23 +259,35 @@
 	return started
 }
 
+// Expired is an item that waited and will not run here.
+type Expired struct {
+	Item
+	Refusal Refusal
+}
+
 // Expire removes and returns the waiting items that can no longer be answered
-// before their deadline.
-func (q *Queue) Expire(now time.Duration) []Item {
+// before their deadline, with refusals of kind Hopeless, and while items that
+// come in time are refused those that will miss their objective, with refusals
+// of kind QueueFull: another server may have room for them.
+func (q *Queue) Expire(now time.Duration) []Expired {
 	if len(q.waiting) == 0 {
 		return nil
 	}
 	q.order(now)
-	var expired []Item
+	var expired []Expired
 	ahead := q.typical() / 2
 	q.waiting = slices.DeleteFunc(q.waiting, func(it Item) bool {
-		cost := q.cost(it.Class)
-		if now+ahead/time.Duration(q.slots)+cost > it.Deadline || now < q.pressed && !q.isOnTime(now, it) {
-			expired = append(expired, it)
-			return true
+		cost, wait := q.cost(it.Class), ahead/time.Duration(q.slots)
+		refusal := Refusal{Kind: gd.QueueFull, Wait: wait, ComeBack: q.comeBack(), Remaining: it.Deadline - now}
+		switch {
+		case now+wait+cost > it.Deadline:
+			refusal.Kind = gd.Hopeless
+		case now >= q.pressed || q.isOnTime(now, it):
+			ahead += cost
+			return false
 		}
-		ahead += cost
-		return false
+		expired = append(expired, Expired{it, refusal})
+		return true
 	})
 	return expired
 }
--- a/internal/call/admission/admission_test.go
+++ b/internal/call/admission/admission_test.go
@@ -224,3 +224,28 @@
 	is.Equal(refusal.Kind, gd.Hopeless)
 	is.Equal(refusal.ComeBack, 900*time.Millisecond)
 }
+
+// TestExpiredItemsMayGoElsewhere has one item run out of time, and one miss its
+// objective while others are refused: only the first is hopeless.
+func TestExpiredItemsMayGoElsewhere(t *testing.T) {
+	is := is.New(t)
+	q := warm(1, 100*ms)
+	for id, it := range []Item{
+		read(0, 0, 2000*ms, 4000*ms), // takes the slot
+		read(1, 0, 2000*ms, 210*ms),
+		read(2, 0, 2000*ms, 4000*ms),
+	} {
+		it.ID = uint64(id)
+		_, ok := q.Offer(0, it, true)
+		is.True(ok)
+		q.Start(0)
+	}
+	q.pressed = 4000 * ms
+	expired := q.Expire(1950 * ms)
+	is.Equal(len(expired), 2)
+	kinds := map[uint64]gd.Kind{}
+	for _, it := range expired {
+		kinds[it.ID] = it.Refusal.Kind
+	}
+	is.Equal(kinds, map[uint64]gd.Kind{1: gd.Hopeless, 2: gd.QueueFull})
+}
--- a/internal/call/placement/placement_test.go
+++ b/internal/call/placement/placement_test.go
@@ -223,6 +223,23 @@
 	is.True(!ok)
 }
 
+// TestShortSearchAsksAFew ends a search at once: some nodes are asked for a free
+// slot nevertheless before the request waits.
+func TestShortSearchAsksAFew(t *testing.T) {
+	is := is.New(t)
+	e, serving := estimates(), records(10, "a")
+	var s Search
+	for range minProbes {
+		s.End()
+		rec, mayWait, ok := e.Next(0, "read", serving, &s)
+		is.True(ok && !mayWait)
+		s.WasAsked(rec.Node, true)
+	}
+	s.End()
+	_, mayWait, ok := e.Next(0, "read", serving, &s)
+	is.True(ok && mayWait)
+}
+
 // TestServerThatJoinsIsTried plays a calm time in which fast servers are idle
 // and one joins of which nothing is known. It is tried soon, and no more than
 // others once it has turned out to be slow.
--- a/internal/call/placement/search.go
+++ b/internal/call/placement/search.go
@@ -12,6 +12,10 @@
 // not tell which slot is free.
 const probes = 8
 
+// minProbes is how many nodes are asked for a free slot however long that takes.
+// A request whose objective is short would else wait at the first one.
+const minProbes = 3
+
 // maxWaits is how many nodes are asked to have a request wait once its search
 // has taken its time.
 const maxWaits = 2
@@ -26,8 +30,8 @@
 }
 
 // End has the request wait at a node that was asked already, for the search has
-// taken its time.
-func (s *Search) End() { s.ended = true }
+// taken its time, if it has asked a few.
+func (s *Search) End() { s.ended = s.ended || len(s.asked) >= minProbes }
 
 // Asked returns how many times a node was asked.
 func (s *Search) Asked() int { return len(s.asked) }
--- /dev/null
+++ b/internal/proxy/sidecar/log_test.go
@@ -0,0 +1,137 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
+	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/sink"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/story"
+)
+
+// lines collects what the nodes of a fleet log.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write keeps p.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// about returns the lines about a request, in order.
+func (l *lines) about(t *testing.T, id string) string {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	told, err := story.Of(id, strings.NewReader(l.text.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Join(told, "\n")
+}
+
+// TestFailedRequestsAreExplained has three requests fail and finds the cause of
+// each in the lines about its id alone.
+func TestFailedRequestsAreExplained(t *testing.T) {
+	const slots = 1
+	for name, c := range map[string]struct {
+		prepare func(f *fleet.Fleet)
+		request fleet.Request
+		status  int
+		want    []string // parts of the story, in order
+	}{
+		"refused": {
+			prepare: func(f *fleet.Fleet) {
+				for i, vm := range f.VMs { // every slot is taken for long
+					go f.Do(context.Background(), fleet.Request{VM: vm, Path: "/reads/long", ID: fmt.Sprint("long-", i)})
+				}
+				for f.VMs[0].Server.RunsOf("long-0")+f.VMs[1].Server.RunsOf("long-0") == 0 ||
+					f.VMs[0].Server.RunsOf("long-1")+f.VMs[1].Server.RunsOf("long-1") == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			},
+			request: fleet.Request{Path: "/short/1"},
+			status:  http.StatusServiceUnavailable,
+			want:    []string{"request-refused", "running=1", "slots=1", "request-ended", "kind=", "reached=0", "status=503", "queue-full"},
+		},
+		"lost answer": {
+			prepare: func(f *fleet.Fleet) {
+				for _, vm := range f.VMs {
+					vm.Server.SetFaults(backend.Faults{LoseAnswer: true})
+				}
+			},
+			request: fleet.Request{Method: http.MethodPost, Path: "/orders/1", Body: "x"},
+			status:  http.StatusBadGateway,
+			want:    []string{"request-served", "instance=instance-", "reached=true", "status=0", "request-ended", "kind=unknown", "reached=1", "status=502"},
+		},
+		"timed out": {
+			prepare: func(*fleet.Fleet) {},
+			request: fleet.Request{Path: "/short/2"},
+			status:  http.StatusGatewayTimeout,
+			want:    []string{"request-ended", "kind=timed-out", "reached=1", "status=504"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var log lines
+			f := start(t, fleet.Spec{
+				Nodes: shop(2), Slots: slots, Work: 400 * time.Millisecond,
+				Log: hclog.New(&hclog.LoggerOptions{Output: &log, JSONFormat: true}),
+			})
+			c.prepare(f)
+			c.request.VM, c.request.ID = f.VMs[0], "asked"
+			a := f.Do(context.Background(), c.request)
+			is.NoErr(a.Err)
+			is.Equal(a.Status, c.status)
+			is.NoErr(fleet.Await("the lines are written", func() bool {
+				told := log.about(t, "asked")
+				return strings.Contains(told, "request-ended") && strings.Contains(told, c.want[0])
+			}))
+			told := log.about(t, "asked")
+			t.Log(told)
+			for _, part := range c.want {
+				if !strings.Contains(told, part) {
+					t.Fatalf("%q lacks %q", told, part)
+				}
+			}
+		})
+	}
+}
+
+// TestCallsGoOnWhileNobodyReadsTheLog has the log go to a pipe that is full, and
+// far more requests fail than its buffer has lines for.
+func TestCallsGoOnWhileNobodyReadsTheLog(t *testing.T) {
+	is := is.New(t)
+	r, w, err := os.Pipe()
+	is.NoErr(err)
+	defer r.Close()
+	out := sink.New(w, nil)
+	defer out.Close()
+	defer w.Close() // releases the write that is under way
+	log := hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true})
+	f := start(t, fleet.Spec{Nodes: shop(1), Slots: 4, Log: log})
+	f.VMs[0].Server.SetFaults(backend.Faults{Fail: true})
+	for i := 0; out.Dropped() == 0; i++ {
+		a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Method: http.MethodPost, Path: "/orders/1", ID: fmt.Sprint("f-", i), Body: "x"})
+		is.NoErr(a.Err)
+		is.Equal(a.Status, http.StatusInternalServerError)
+	}
+	f.VMs[0].Server.SetFaults(backend.Faults{})
+	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "good"})
+	is.NoErr(a.Err)
+	is.Equal(a.Status, http.StatusOK)
+}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -188,6 +188,8 @@
 	switch {
 	case r.Delayed > maxDelay:
 		return gd.QueueFull.Errorf("the request was on its way for %s longer than usual", r.Delayed)
+	case r.Left <= 0:
+		return gd.Hopeless.Errorf("the time of the request was up when it came")
 	case s.left:
 		return gd.Draining.Errorf("node %s is going", s.cfg.Node)
 	case s.stopAt > 0 && s.now()+r.Left > s.stopAt:
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -280,7 +280,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, it := range s.queue.Expire(s.now()) {
-		s.refuse(it.ID, gd.Hopeless.Errorf("the deadline comes before the request can be served"))
+		s.refuse(it.ID, it.Refusal.Error())
 	}
 	if !s.mayStart() {
 		for _, it := range s.queue.Clear() {
--- a/internal/telemetry/sink/sink_test.go
+++ b/internal/telemetry/sink/sink_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -28,6 +29,30 @@
 	s.Close()
 }
 
+// TestTenThousandFailures has as many lines as ten thousand failures make come
+// at once, to a file that takes some. Each is written whole or counted.
+func TestTenThousandFailures(t *testing.T) {
+	is := is.New(t)
+	var b buffer
+	var told atomic.Uint64
+	s := New(&b, func(dropped uint64) { told.Add(dropped) })
+	line := []byte(strings.Repeat("x", 300) + "\n")
+	const n = 10_000
+	var writers sync.WaitGroup
+	for range 10 {
+		writers.Go(func() {
+			for range n / 10 {
+				_, _ = s.Write(line) // it never fails
+			}
+		})
+	}
+	writers.Wait()
+	s.Close()
+	is.Equal(uint64(strings.Count(b.String(), string(line)))+s.Dropped(), uint64(n))
+	is.Equal(len(b.String())%len(line), 0) // no line is cut
+	is.True(told.Load() <= s.Dropped())
+}
+
 // TestAllLinesArrive where the file takes them, and what was dropped is told.
 func TestAllLinesArrive(t *testing.T) {
 	is := is.New(t)
