Nodes one version behind get what has changed

A node tells the version and the checksum that it has; where that is the version before, it gets runs of bytes to copy and to insert, some hundred bytes for one route of 1,600.

--- /dev/null
+++ b/internal/fleet/roster/delta_test.go
@@ -0,0 +1,91 @@
+package roster
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/geraniumdock/geraniumdock/internal/mutate"
+)
+
+func TestDeltaGivesTheTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.SampledFrom([]string{strings.Repeat("a", 100), strings.Repeat("bc", 90), "d", strings.Repeat("xyz", 40)}), 0, 12)
+		base := []byte(strings.Join(parts.Draw(t, "base"), ""))
+		target := []byte(strings.Join(parts.Draw(t, "target"), ""))
+		got, err := applyDelta(base, delta(base, target))
+		if err != nil || !bytes.Equal(got, target) {
+			t.Fatalf("%q: %v", got, err)
+		}
+	})
+}
+
+// TestDeltaOfOneRouteIsSmall changes one of 1,600 routes, as successive
+// versions do.
+func TestDeltaOfOneRouteIsSmall(t *testing.T) {
+	is := is.New(t)
+	var base, target bytes.Buffer
+	for i := range 1600 {
+		line := fmt.Sprintf(`{"name":"r-%d","host":"host-%d.example","prefix":"/p-%d/","service":"shop","timeout":1.5,"attempts":2},`, i, i%40, i)
+		base.WriteString(line)
+		if i == 700 {
+			line = strings.ReplaceAll(line, "shop", "stock")
+		}
+		target.WriteString(line)
+	}
+	d := delta(base.Bytes(), target.Bytes())
+	is.True(len(d) < 500)
+	got, err := applyDelta(base.Bytes(), d)
+	is.NoErr(err)
+	is.True(bytes.Equal(got, target.Bytes()))
+}
+
+func TestDamagedDelta(t *testing.T) {
+	base := []byte(strings.Repeat("0123456789", 50))
+	d := delta(base, []byte(strings.Repeat("0123456789", 30)+"new"+strings.Repeat("0123456789", 20)))
+	for damaged := range mutate.Copies(d, 5000) {
+		_, _ = applyDelta(base, damaged) // it must not panic
+	}
+}
+
+func FuzzApplyDelta(f *testing.F) {
+	base := []byte(strings.Repeat("0123456789", 50))
+	f.Add(delta(base, base[10:]))
+	f.Fuzz(func(_ *testing.T, d []byte) { _, _ = applyDelta(base, d) })
+}
+
+// TestNodeOneVersionBehindGetsADelta asks with the version before, with the same
+// version in other bytes, and with an older one.
+func TestNodeOneVersionBehindGetsADelta(t *testing.T) {
+	is := is.New(t)
+	r, stop := run(&silent{begun: make(chan struct{})})
+	defer stop()
+	for _, v := range []uint64{3, 4, 5} {
+		tell(r, policy(v))
+	}
+	for _, c := range []struct {
+		question Message
+		isDelta  bool
+	}{
+		{Message{Node: "peer", Version: 4, Sum: sumOf([]byte("4"))}, true},
+		{Message{Node: "peer", Version: 4, Sum: sumOf([]byte(" 4"))}, false},
+		{Message{Node: "peer", Version: 3, Sum: sumOf([]byte("3"))}, false},
+		{Message{Node: "peer"}, false},
+	} {
+		a := tell(r, c.question)
+		is.Equal(a.Delta != nil, c.isDelta)
+		is.Equal(a.Policy != nil, !c.isDelta)
+	}
+	// What comes as a delta is taken over.
+	behind, stopBehind := run(&silent{begun: make(chan struct{})})
+	defer stopBehind()
+	tell(behind, policy(4))
+	m := tell(r, Message{Node: "peer", Version: 4, Sum: sumOf([]byte("4"))})
+	m.Node = "peer"
+	tell(behind, m)
+	is.Equal(behind.Snapshot().Policy.Version, uint64(5))
+}
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/quarantine"
@@ -34,6 +36,8 @@
 	Push     bool                `cbor:"8,keyasint,omitempty"`  // no answer is wanted
 	Revision uint64              `cbor:"9,keyasint,omitempty"`  // of the policy's entry
 	Digests  []uint32            `cbor:"10,keyasint,omitempty"` // of the parts of the directory
+	Sum      uint64              `cbor:"11,keyasint,omitempty"` // of the bytes of the policy in force
+	Delta    []byte              `cbor:"12,keyasint,omitempty"` // from the policy that the question told of
 }
 
 // gossip exchanges with one random node after another.
@@ -85,6 +89,7 @@
 	return Message{
 		Node:     s.r.cfg.Self.Node,
 		Version:  s.version(),
+		Sum:      s.sum,
 		Digests:  s.directory.Digests(),
 		Register: uint64(len(s.register.Reports())),
 	}
@@ -111,7 +116,7 @@
 	case <-ctx.Done():
 		return
 	}
-	if back.Policy != nil || back.Records != nil || back.Reports != nil {
+	if back.Policy != nil || back.Delta != nil || back.Records != nil || back.Reports != nil {
 		back.Push = true
 		if _, err := r.cfg.Exchanger.Exchange(ctx, address, back); err != nil {
 			r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
@@ -147,7 +152,7 @@
 		}
 	}
 	if m.Version > s.version() {
-		if m.Policy != nil {
+		if m.Policy != nil || m.Delta != nil {
 			s.takePolicy(m)
 		} else if rec, ok := s.directory.Record(m.Node); ok && m.Push && s.asking < m.Version {
 			s.ask(rec.Address, m.Version)
@@ -174,13 +179,19 @@
 
 // takePolicy brings the policy of a message into force.
 func (s *state) takePolicy(m Message) {
-	raw, err := unpack(m.Policy)
+	var raw []byte
+	var err error
+	if m.Delta != nil {
+		raw, err = applyDelta(s.raw, m.Delta)
+	} else {
+		raw, err = unpack(m.Policy)
+	}
 	if err != nil {
 		s.r.cfg.Log.Warn(event.PolicyRefused, "source", "node "+m.Node, "error", gd.Message(err), "in-force", s.version())
 		return
 	}
 	s.adopt(raw, m.Revision, "node "+m.Node)
-	if s.version() == m.Version {
+	if s.version() == m.Version && m.Policy != nil {
 		s.compressed, s.compressedOf = m.Policy, m.Version
 	}
 }
@@ -193,11 +204,28 @@
 	return s.compressed
 }
 
+// deltaFromBefore returns what has changed since the policy before.
+func (s *state) deltaFromBefore() []byte {
+	if s.before.delta == nil {
+		s.before.delta = delta(s.before.raw, s.raw)
+	}
+	return s.before.delta
+}
+
+// sumOf returns a checksum of the bytes of a policy, for nodes to know that they
+// speak of the same.
+func sumOf(raw []byte) uint64 { return xxhash.Sum64(raw) }
+
 // lacks returns the digests with what the sender of m lacks.
 func (s *state) lacks(m Message) Message {
 	a := s.digests()
 	if s.raw != nil && m.Version < s.version() {
-		a.Policy, a.Revision = s.packed(), s.r.revision.Load()
+		a.Revision = s.r.revision.Load()
+		if m.Version == s.before.version && m.Sum == s.before.sum && m.Sum != 0 {
+			a.Delta = s.deltaFromBefore()
+		} else {
+			a.Policy = s.packed()
+		}
 	}
 	if records := s.directory.Differing(m.Digests); len(records) > 0 {
 		a.Records = records
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -85,6 +85,8 @@
 	ctx       context.Context // ends with Run, and with it what is under way to other nodes
 	policy    *route.Policy
 	raw       []byte // the policy as the catalogue holds it
+	sum       uint64 // of raw
+	before    earlier
 	directory server.Directory
 	register  quarantine.Register
 	own       server.Record
@@ -104,6 +106,15 @@
 	compressedOf uint64 // its version
 }
 
+// earlier is the policy that was in force before. Most nodes that ask for the
+// newest one have it, and need only what has changed.
+type earlier struct {
+	version uint64
+	sum     uint64 // of raw
+	raw     []byte
+	delta   []byte // to the policy in force, nil until one is needed
+}
+
 // New returns a roster. Run starts it.
 func New(cfg Config) *Roster {
 	r := &Roster{
@@ -202,7 +213,8 @@
 	}
 	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source)
 	first := s.policy == nil
-	s.policy, s.raw = p, raw
+	s.before = earlier{version: s.version(), sum: s.sum, raw: s.raw}
+	s.policy, s.raw, s.sum = p, raw, sumOf(raw)
 	s.r.revision.Store(max(revision, s.r.revision.Load()))
 	s.show()
 	if first {
