--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -18,6 +18,7 @@
 	watchWait    = 20 * time.Second       // how long a watch waits for a change
 	lookWait     = time.Millisecond       // the same for a node that only looks
 	looksPer     = 3                      // looks a second over all nodes
+	minLookEvery = time.Second            // of one node, for at its start it knows no other
 	listEvery    = 15 * time.Second       // pause between two lists of the servers
 	firstBackoff = 100 * time.Millisecond // before the first repeat of a failed call
 	maxBackoff   = time.Second
@@ -99,7 +100,7 @@
 // lookEvery returns the pause between two looks of one node: over all nodes
 // there are a few a second, however many nodes there are.
 func (r *Roster) lookEvery() time.Duration {
-	return time.Duration(r.snapshot.Load().Nodes()) * time.Second / looksPer
+	return max(time.Duration(r.snapshot.Load().Nodes())*time.Second/looksPer, minLookEvery)
 }
 
 // isWatcher reports whether this node is one of the few that wait for changes
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -263,3 +263,22 @@
 	s.expire()
 	is.Equal(s.directory.Len(), 0)
 }
+
+// TestLooksAreFew has nodes know fleets of several sizes: over all nodes there
+// are three looks a second at most, and one node looks once a second at most,
+// also while it knows no other.
+func TestLooksAreFew(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		nodes int
+		every time.Duration
+	}{{1, time.Second}, {2, time.Second}, {13, 13 * time.Second / 3}, {450, 150 * time.Second}} {
+		r := New(Config{})
+		var d server.Directory
+		for i := range c.nodes {
+			d, _ = d.WithRecords(server.Record{Node: strconv.Itoa(i), Incarnation: 1})
+		}
+		r.snapshot.Store(&Snapshot{Directory: d})
+		is.Equal(r.lookEvery(), c.every)
+	}
+}
