--- a/internal/proxy/sidecar/fleet_test.go
+++ b/internal/proxy/sidecar/fleet_test.go
@@ -174,6 +174,17 @@
 	return len(page)
 }
 
+// awaitNotReady waits until the node of vm is not ready any more.
+func awaitNotReady(vm *fleet.VM) error {
+	return fleet.Await("the node is not ready", func() bool {
+		res, err := http.Get("http://" + vm.Sidecar.Address("ready") + platform.ReadyPath)
+		if err != nil {
+			return true
+		}
+		return res.Body.Close() == nil && res.StatusCode == http.StatusServiceUnavailable
+	})
+}
+
 // TestStoppingNodeFinishesWhatItTook closes a node while requests run.
 func TestStoppingNodeFinishesWhatItTook(t *testing.T) {
 	is := is.New(t)
@@ -189,13 +200,7 @@
 	is.NoErr(fleet.Await("requests run", func() bool { return running() == n }))
 	closed := make(chan struct{})
 	go func() { defer close(closed); _ = f.VMs[0].Sidecar.Close() }()
-	is.NoErr(fleet.Await("the node is not ready", func() bool {
-		res, err := http.Get("http://" + f.VMs[0].Sidecar.Address("ready") + platform.ReadyPath)
-		if err != nil {
-			return true
-		}
-		return res.Body.Close() == nil && res.StatusCode == http.StatusServiceUnavailable
-	}))
+	is.NoErr(awaitNotReady(f.VMs[0]))
 	late := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: "late", Deadline: time.Second})
 	is.NoErr(late.Err)
 	is.Equal(late.Status, http.StatusOK) // by the other server
@@ -220,13 +225,7 @@
 	f := start(t, fleet.Spec{Nodes: nodes, Slots: 4, Grace: 4 * time.Second})
 	closed := make(chan struct{})
 	go func() { defer close(closed); _ = f.VMs[0].Sidecar.Close() }()
-	is.NoErr(fleet.Await("the node is not ready", func() bool {
-		res, err := http.Get("http://" + f.VMs[0].Sidecar.Address("ready") + platform.ReadyPath)
-		if err != nil {
-			return true
-		}
-		return res.Body.Close() == nil && res.StatusCode == http.StatusServiceUnavailable
-	}))
+	is.NoErr(awaitNotReady(f.VMs[0]))
 	a := f.Do(context.Background(), fleet.Request{VM: f.VMs[1], Path: "/reads/1", ID: "short", Deadline: time.Second})
 	is.NoErr(a.Err)
 	is.Equal(a.Status, http.StatusOK)
