One client of the platform: serve keeps its objects on the platform's store

The product's own client and HTTP stand-in of an object service are gone. object.Shelf is a gd.Store over the platform's catalogue: the first part of a key is the kind, the rest the name, a watch of one key goes on when the history is gone. The tests of the removed client became tests of the shelf over the platform's client; those of saving and of faults over HTTP are the catalogue's.

--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -32,6 +32,7 @@
 )
 
 const (
+	storeConns = 16 // idle connections to the store that are kept
 	demoLimit  = 30 * time.Second
 	privateKey = 0o600
 	publicFile = 0o644
@@ -86,7 +87,7 @@
 		DataCentre:    s.DataCentre,
 		Region:        s.Region,
 		Identity:      id,
-		Store:         object.NewClient(object.NewRemote(s.Platform.Address), clock.System{}, s.Platform.CallsPerSecond, seed),
+		Store:         object.NewClient(object.NewShelf(platform.NewStore(s.Platform.Address, &http.Transport{MaxIdleConnsPerHost: storeConns})), clock.System{}, s.Platform.CallsPerSecond, seed),
 		Clock:         clock.System{},
 		Log:           log,
 		CallsAddress:  s.Listen.Calls,
@@ -183,9 +184,8 @@
 
 type standInCommand struct {
 	Listen string `long:"listen" value-name:"HOST:PORT" default:"127.0.0.1:9000" description:"address to serve at"`
-	Data   string `long:"data" value-name:"FILE" description:"file to load the objects from and to save them to at the end"`
-	Store  bool   `long:"store" description:"serve the calls of the platform's metadata store, for sidecars"`
-	Policy string `long:"policy" value-name:"FILE" description:"with --store: configuration to begin with, as the operator writes it"`
+	Data   string `long:"data" value-name:"FILE" description:"file to load the entries from and to save them to at the end"`
+	Policy string `long:"policy" value-name:"FILE" description:"configuration for sidecars to begin with, as the operator writes it"`
 }
 
 // Execute serves the stand-in until a signal.
@@ -196,43 +196,45 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	m := object.NewMemory()
-	if err := c.load(m); err != nil {
+	store := catalogue.New(0, 0, uint64(clock.System{}.Now()))
+	if err := c.load(store); err != nil {
 		return err
 	}
-	s := &http.Server{Handler: object.NewHandler(m)}
-	if c.Store {
-		if s.Handler, err = c.store(ctx); err != nil {
-			return err
-		}
+	if err := c.begin(ctx, store); err != nil {
+		return err
 	}
+	control := catalogue.NewControl(store)
+	mux := http.NewServeMux()
+	mux.Handle("/", platform.NewStoreHandler(store))
+	mux.Handle(catalogue.FaultsPath, control)
+	mux.Handle(catalogue.CountsPath, control)
+	s := &http.Server{Handler: mux}
 	context.AfterFunc(ctx, func() { s.Close() })
 	fmt.Fprintf(os.Stderr, "stand-in for the platform at http://%s, in memory\n", l.Addr())
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return gd.Internal.Wrapf(err, "stand-in")
 	}
-	return c.save(m)
+	store.Close()
+	return c.save(store)
 }
 
-// store returns the handler of a stand-in of the metadata store.
-func (c *standInCommand) store(ctx context.Context) (http.Handler, error) {
-	store := catalogue.New(0, 0, uint64(clock.System{}.Now()))
-	if c.Policy != "" {
-		data, err := os.ReadFile(c.Policy)
-		if err != nil {
-			return nil, gd.Invalid.Wrapf(err, "--policy")
-		}
-		if _, err := platform.DecodePolicy(data); err != nil {
-			return nil, gd.Invalid.Errorf("%s: %s", c.Policy, gd.Message(err))
-		}
-		if _, err := store.Put(ctx, "operator", platform.ConfigKind, platform.ConfigName, data, nil, 0, true); err != nil {
-			return nil, err
-		}
+// begin writes the configuration to begin with.
+func (c *standInCommand) begin(ctx context.Context, store *catalogue.Catalogue) error {
+	if c.Policy == "" {
+		return nil
 	}
-	return platform.NewStoreHandler(store), nil
+	data, err := os.ReadFile(c.Policy)
+	if err != nil {
+		return gd.Invalid.Wrapf(err, "--policy")
+	}
+	if _, err := platform.DecodePolicy(data); err != nil {
+		return gd.Invalid.Errorf("%s: %s", c.Policy, gd.Message(err))
+	}
+	_, err = store.Put(ctx, "operator", platform.ConfigKind, platform.ConfigName, data, nil, 0, true)
+	return err
 }
 
-func (c *standInCommand) load(m *object.Memory) error {
+func (c *standInCommand) load(store *catalogue.Catalogue) error {
 	if c.Data == "" {
 		return nil
 	}
@@ -244,10 +246,10 @@
 		return gd.Invalid.Wrapf(err, "--data")
 	}
 	defer f.Close()
-	return object.Restore(m, f)
+	return store.Restore(f)
 }
 
-func (c *standInCommand) save(m *object.Memory) error {
+func (c *standInCommand) save(store *catalogue.Catalogue) error {
 	if c.Data == "" {
 		return nil
 	}
@@ -255,7 +257,7 @@
 	if err != nil {
 		return gd.Invalid.Wrapf(err, "--data")
 	}
-	if err := object.Save(m, f); err != nil {
+	if err := store.Save(f); err != nil {
 		f.Close()
 		return err
 	}
--- /dev/null
+++ b/internal/standin/catalogue/control.go
@@ -0,0 +1,106 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+)
+
+// Paths at which a stand-in is told what failures to show, and tells the calls
+// that it has received.
+const (
+	FaultsPath = "/faults"
+	CountsPath = "/counts"
+)
+
+type wireFaults struct {
+	Outage     string   `json:"outage"` // a key of outages, "" for none
+	Callers    []string `json:"callers"`
+	DelayMS    int64    `json:"delay-ms"`
+	LoseWrites float64  `json:"lose-writes"` // share
+	LateMS     int64    `json:"late-ms"`     // by which the lost writes are done later
+	Mute       bool     `json:"mute"`        // watches hear nothing
+	Forget     bool     `json:"forget"`      // the history, now
+}
+
+var outages = map[string]Outage{"": Up, "silent": Silent, "busy": Busy, "many": Many, "reset": Reset}
+
+// NewControl serves the failures that c shows (PUT at FaultsPath) and the calls
+// that it has received (GET at CountsPath).
+func NewControl(c *Catalogue) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+FaultsPath, func(w http.ResponseWriter, r *http.Request) {
+		if err := c.takeFaults(r.Body); err != nil {
+			http.Error(w, gd.Message(err), http.StatusBadRequest)
+		}
+	})
+	mux.HandleFunc("GET "+CountsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(c.Counts()) // a failed write shows at the reader as a cut answer
+	})
+	return mux
+}
+
+func (c *Catalogue) takeFaults(r io.Reader) error {
+	var f wireFaults
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return gd.Invalid.Wrapf(err, "faults")
+	}
+	outage, ok := outages[f.Outage]
+	if !ok {
+		return gd.Invalid.Errorf("outage: %q is not silent, busy, many or reset", f.Outage)
+	}
+	c.SetFaults(Faults{
+		Outage: outage, Callers: f.Callers, Delay: time.Duration(f.DelayMS) * time.Millisecond,
+		LoseWrite: f.LoseWrites, LateWrite: time.Duration(f.LateMS) * time.Millisecond, Mute: f.Mute,
+	})
+	if f.Forget {
+		c.Compact()
+	}
+	return nil
+}
+
+// saved is a catalogue in a file.
+type saved struct {
+	Revision uint64             `json:"revision"`
+	Kinds    map[string][]Entry `json:"kinds"`
+}
+
+// Save writes all entries to w, without the history.
+func (c *Catalogue) Save(w io.Writer) error {
+	c.mu.Lock()
+	s := saved{Revision: c.revision, Kinds: map[string][]Entry{}}
+	for kind, entries := range c.kinds {
+		for _, e := range entries {
+			s.Kinds[kind] = append(s.Kinds[kind], e)
+		}
+	}
+	c.mu.Unlock()
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		return gd.Unavailable.Wrapf(err, "save entries")
+	}
+	return nil
+}
+
+// Restore reads what Save wrote into an empty catalogue.
+func (c *Catalogue) Restore(r io.Reader) error {
+	var s saved
+	if err := json.NewDecoder(r).Decode(&s); err != nil {
+		return gd.Invalid.Wrapf(err, "saved entries")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision, c.oldest = max(s.Revision, c.revision), s.Revision
+	for kind, entries := range s.Kinds {
+		c.kinds[kind] = map[string]Entry{}
+		for _, e := range entries {
+			c.kinds[kind][e.Name] = e
+		}
+	}
+	return nil
+}
--- a/internal/store/object/memory.go
+++ b/internal/store/object/memory.go
@@ -1,6 +1,6 @@
-// Package object holds the stand-ins for the platform's object service, in
-// memory and over HTTP, with call counts and switchable faults, and the client
-// that bounds and retries every call that the product makes.
+// Package object keeps objects by key on the platform's catalogue, and in memory
+// with call counts and switchable faults for tests. Its client bounds and retries
+// every call that the product makes.
 package object
 
 import (
@@ -200,25 +200,3 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
-
-// Snapshot returns all objects and the newest revision, for a stand-in that is
-// started again with Load.
-func (m *Memory) Snapshot() (objects []gd.Object, last uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, o := range m.objects {
-		objects = append(objects, o)
-	}
-	return objects, m.last
-}
-
-// Load puts back what Snapshot returned.
-func (m *Memory) Load(objects []gd.Object, last uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, o := range objects {
-		m.objects[o.Key] = o
-	}
-	m.last = last
-	m.wake()
-}
--- a/internal/store/object/platform_test.go
+++ b/internal/store/object/platform_test.go
@@ -1,9 +1,7 @@
 package object
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -15,22 +13,30 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
+	"github.com/geraniumdock/geraniumdock/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// stores returns the same stand-in met in memory and over HTTP.
-func stores(t *testing.T) (*Memory, map[string]gd.Store) {
-	m := NewMemory()
-	s := httptest.NewServer(NewHandler(m))
-	r := NewRemote(s.URL)
-	t.Cleanup(func() { r.Close(); s.Close() })
-	return m, map[string]gd.Store{"memory": m, "http": r}
+// shelf returns a store over the platform's client and a stand-in of the
+// platform.
+func shelf(t *testing.T) (*catalogue.Catalogue, *Shelf) {
+	c := catalogue.New(0, 0, 1)
+	s := httptest.NewServer(platform.NewStoreHandler(c))
+	client := platform.NewStore(s.URL, &http.Transport{})
+	t.Cleanup(func() { client.Close(); s.Close(); c.Close() })
+	return c, NewShelf(client)
+}
+
+// stores returns the store in memory and the one on the platform.
+func stores(t *testing.T) map[string]gd.Store {
+	_, s := shelf(t)
+	return map[string]gd.Store{"memory": NewMemory(), "platform": s}
 }
 
 func TestStore(t *testing.T) {
-	_, list := stores(t)
-	for name, s := range list {
+	for name, s := range stores(t) {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			ctx := context.Background()
@@ -69,8 +75,7 @@
 }
 
 func TestWatchWakesOnChange(t *testing.T) {
-	_, list := stores(t)
-	for name, s := range list {
+	for name, s := range stores(t) {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			ctx := context.Background()
@@ -89,47 +94,97 @@
 func TestFaults(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	m, list := stores(t)
-	s := list["http"]
+	m := NewMemory()
 	m.SetFaults(Faults{LoseAnswers: 1})
-	_, err := s.Put(ctx, "k", []byte("x"), 0)
+	_, err := m.Put(ctx, "k", []byte("x"), 0)
 	is.True(gd.Unavailable.Is(err))
-	o, err := s.Get(ctx, "k")
+	o, err := m.Get(ctx, "k")
 	is.NoErr(err) // it took effect all the same
 	m.SetFaults(Faults{StallWatches: true})
-	_, err = s.Watch(ctx, "k", 0, time.Millisecond)
+	_, err = m.Watch(ctx, "k", 0, time.Millisecond)
 	is.True(gd.TimedOut.Is(err))
 	m.SetFaults(Faults{RepeatWatch: true})
-	again, err := s.Watch(ctx, "k", o.Revision, time.Minute)
+	again, err := m.Watch(ctx, "k", o.Revision, time.Minute)
 	is.NoErr(err)
 	is.Equal(again.Revision, o.Revision)
 	m.SetFaults(Faults{Outage: true})
-	_, err = s.Get(ctx, "k")
+	_, err = m.Get(ctx, "k")
 	is.True(gd.Unavailable.Is(err))
 	m.SetFaults(Faults{Delay: time.Hour})
 	short, cancel := context.WithTimeout(ctx, time.Millisecond)
 	defer cancel()
-	_, err = s.Get(short, "k")
+	_, err = m.Get(short, "k")
 	is.True(gd.Unavailable.Is(err))
 }
 
-func TestFaultsOverHTTP(t *testing.T) {
+// TestFaultsOfThePlatform meets the same failures through the platform's client.
+func TestFaultsOfThePlatform(t *testing.T) {
 	is := is.New(t)
-	m := NewMemory()
-	s := httptest.NewServer(NewHandler(m))
-	defer s.Close()
-	put := func(body string) int {
-		req, err := http.NewRequest(http.MethodPut, s.URL+"/faults", bytes.NewReader([]byte(body)))
-		is.NoErr(err)
-		res, err := s.Client().Do(req)
+	ctx := context.Background()
+	c, s := shelf(t)
+	c.SetFaults(catalogue.Faults{LoseWrite: 1})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err := s.Put(short, "table/k", []byte("x"), 0)
+	is.True(gd.Unavailable.Is(err))
+	c.SetFaults(catalogue.Faults{})
+	o, err := s.Get(ctx, "table/k")
+	is.NoErr(err) // it took effect all the same
+	c.SetFaults(catalogue.Faults{Mute: true})
+	_, err = s.Watch(ctx, "table/k", o.Revision, time.Millisecond)
+	is.True(gd.TimedOut.Is(err))
+	c.SetFaults(catalogue.Faults{Outage: catalogue.Busy})
+	_, err = s.Get(ctx, "table/k")
+	is.True(gd.Unavailable.Is(err))
+	c.SetFaults(catalogue.Faults{Delay: time.Hour})
+	short, cancel = context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	_, err = s.Get(short, "table/k")
+	is.True(gd.Unavailable.Is(err))
+	c.SetFaults(catalogue.Faults{})
+}
+
+// TestWatchGoesOnWhenTheHistoryIsGone has the platform forget what has changed
+// since the revision that is watched from, and others change other objects.
+func TestWatchGoesOnWhenTheHistoryIsGone(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, s := shelf(t)
+	o, err := s.Put(ctx, "table/head", []byte("1"), 0)
+	is.NoErr(err)
+	_, err = s.Put(ctx, "table/other", []byte("1"), 0)
+	is.NoErr(err)
+	c.Compact()
+	got := make(chan gd.Object, 1)
+	go func() {
+		changed, _ := s.Watch(ctx, "table/head", o.Revision, time.Minute)
+		got <- changed
+	}()
+	_, err = s.Put(ctx, "table/other", []byte("2"), o.Revision+1)
+	is.NoErr(err)
+	_, err = s.Put(ctx, "table/head", []byte("2"), o.Revision)
+	is.NoErr(err)
+	is.Equal(string((<-got).Value), "2")
+}
+
+// TestListHoldsOnlyWhatBeginsWithThePrefix has objects of several kinds, and an
+// entry that is not the product's.
+func TestListHoldsOnlyWhatBeginsWithThePrefix(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, s := shelf(t)
+	for _, key := range []string{"relay/b/1", "relay/a/0", "relay/a/1", "limits/a/1"} {
+		_, err := s.Put(ctx, key, []byte(key), 0)
 		is.NoErr(err)
-		res.Body.Close()
-		return res.StatusCode
 	}
-	is.Equal(put(`{"outage": true}`), http.StatusOK)
-	_, err := m.Get(context.Background(), "k")
-	is.True(gd.Unavailable.Is(err))
-	is.Equal(put(`{"outrage": true}`), http.StatusBadRequest)
+	list, err := s.List(ctx, "relay/a/")
+	is.NoErr(err)
+	var keys []string
+	for _, o := range list {
+		keys = append(keys, o.Key)
+		is.Equal(string(o.Value), o.Key)
+	}
+	is.Equal(keys, []string{"relay/a/0", "relay/a/1"})
 }
 
 // failing fails a number of calls before they reach the store below.
@@ -192,41 +247,19 @@
 	is.Equal(m.Counts().Writes, uint64(budgetBurst+3))
 }
 
-func TestSaveAndRestore(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	m := NewMemory()
-	o, err := m.Put(ctx, "k", []byte("v"), 0)
-	is.NoErr(err)
-	var file bytes.Buffer
-	is.NoErr(Save(m, &file))
-	back := NewMemory()
-	is.NoErr(Restore(back, &file))
-	got, err := back.Get(ctx, "k")
-	is.NoErr(err)
-	is.Equal(got, o)
-	next, err := back.Put(ctx, "l", nil, 0)
-	is.NoErr(err)
-	is.True(next.Revision > o.Revision)
-}
-
-func takeAnswer(data []byte) error {
-	var o wireObject
-	return decodeReply(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data))}, &o)
-}
-
-func TestDamagedAnswers(t *testing.T) {
-	for data := range mutate.Copies([]byte(`{"key":"k","revision":7,"value":"eA=="}`), 2000) {
-		if err := takeAnswer(data); err != nil && !gd.Unavailable.Is(err) {
+// TestDamagedEntries reads damaged copies of an entry's value.
+func TestDamagedEntries(t *testing.T) {
+	for data := range mutate.Copies([]byte(`"eA=="`), 2000) {
+		if _, err := object("k", gd.Entry{Value: data}); err != nil && !gd.Unavailable.Is(err) {
 			t.Fatal(err)
 		}
 	}
 }
 
-func FuzzAnswer(f *testing.F) {
-	f.Add([]byte(`{"key":"k","revision":7,"value":"eA=="}`))
+func FuzzEntry(f *testing.F) {
+	f.Add([]byte(`"eA=="`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if err := takeAnswer(data); err != nil && !gd.Unavailable.Is(err) {
+		if _, err := object("k", gd.Entry{Value: data}); err != nil && !gd.Unavailable.Is(err) {
 			t.Fatal(err)
 		}
 	})
--- /dev/null
+++ b/internal/store/object/shelf.go
@@ -0,0 +1,131 @@
+package object
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"strings"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+// kindPrefix begins the kinds of the entries that hold objects.
+const kindPrefix = "geraniumdock-"
+
+// Shelf is a Store over the platform's catalogue. The first part of a key is the
+// kind of the entry, the rest its name; the value is JSON text of its bytes.
+type Shelf struct {
+	catalogue gd.Catalogue
+}
+
+// NewShelf returns the store that keeps its objects in c.
+func NewShelf(c gd.Catalogue) *Shelf { return &Shelf{c} }
+
+// place returns the kind and the name of the entry for key.
+func place(key string) (kind, name string) {
+	first, rest, found := strings.Cut(key, "/")
+	if !found {
+		first, rest = "object", key
+	}
+	return kindPrefix + first, url.PathEscape(rest)
+}
+
+// object returns the object at key that an entry holds.
+func object(key string, e gd.Entry) (gd.Object, error) {
+	var value []byte
+	if err := json.Unmarshal(e.Value, &value); err != nil {
+		return gd.Object{}, gd.Unavailable.Wrapf(err, "entry of object %s", key)
+	}
+	return gd.Object{Key: key, Revision: e.Revision, Value: value}, nil
+}
+
+// Get returns the object at key.
+func (s *Shelf) Get(ctx context.Context, key string) (gd.Object, error) {
+	kind, name := place(key)
+	e, err := s.catalogue.Get(ctx, kind, name)
+	switch {
+	case err != nil:
+		return gd.Object{}, err
+	case e.Deleted:
+		return gd.Object{}, gd.NotFound.Errorf("no object %s", key)
+	}
+	return object(key, e)
+}
+
+// Put writes value if the revision of key is still ifRevision.
+func (s *Shelf) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (gd.Object, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return gd.Object{}, gd.Internal.Wrapf(err, "object %s", key)
+	}
+	if len(data) > gd.MaxObjectBytes {
+		return gd.Object{}, gd.TooLarge.Errorf("object %s has %d bytes as an entry, the limit is %d", key, len(data), gd.MaxObjectBytes)
+	}
+	kind, name := place(key)
+	e, err := s.catalogue.Put(ctx, kind, name, data, ifRevision)
+	if gd.NotFound.Is(err) {
+		err = gd.Conflict.Wrapf(err, "object %s was removed", key)
+	}
+	return gd.Object{Key: key, Revision: e.Revision, Value: value}, err
+}
+
+// Delete removes the object at key if its revision is still ifRevision.
+func (s *Shelf) Delete(ctx context.Context, key string, ifRevision uint64) error {
+	kind, name := place(key)
+	return s.catalogue.Delete(ctx, kind, name, ifRevision)
+}
+
+// List returns the objects whose keys begin with prefix, which holds the whole
+// first part of the keys, ordered by key.
+func (s *Shelf) List(ctx context.Context, prefix string) ([]gd.Object, error) {
+	kind, _ := place(prefix)
+	entries, _, err := s.catalogue.List(ctx, kind)
+	if err != nil {
+		return nil, err
+	}
+	var list []gd.Object
+	for _, e := range entries {
+		name, err := url.PathUnescape(e.Name)
+		key := strings.TrimPrefix(kind, kindPrefix) + "/" + name
+		if err != nil || e.Deleted || !strings.HasPrefix(key, prefix) {
+			continue // an entry of somebody else, or one that is going
+		}
+		o, err := object(key, e)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, o)
+	}
+	return list, nil
+}
+
+// Watch waits until the revision of key is above after.
+func (s *Shelf) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (gd.Object, error) {
+	kind, name := place(key)
+	end := clock.Deadline(wait)
+	o, err := s.Get(ctx, key)
+	if err == nil && o.Revision > after || err != nil && !gd.NotFound.Is(err) {
+		return o, err
+	}
+	for from := max(after, o.Revision); ; {
+		left := -clock.Since(end)
+		if left <= 0 {
+			return gd.Object{}, gd.TimedOut.Errorf("no change of %s", key)
+		}
+		entries, revision, err := s.catalogue.Watch(ctx, kind, from, left)
+		if gd.Expired.Is(err) {
+			entries, revision, err = s.catalogue.List(ctx, kind)
+		}
+		if err != nil {
+			return gd.Object{}, err
+		}
+		for _, e := range entries {
+			if e.Name == name && !e.Deleted && e.Revision > after {
+				return object(key, e)
+			}
+		}
+		from = revision
+	}
+}
