--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,8 +132,8 @@
 	return s, nil
 }
 
-// Parse checks the bytes of a settings file. Errors name the file, and the key
-// or the line and column.
+// Parse checks the bytes of a settings file. Errors name the file, the line and
+// the key.
 func Parse(data []byte, file string) (Settings, error) {
 	w := wireSettings{Settings: Default()}
 	if err := yaml.UnmarshalWithOptions(data, &w, yaml.Strict()); err != nil {
@@ -144,11 +144,19 @@
 		err = w.check()
 	}
 	if err != nil {
-		return Settings{}, gd.Invalid.Errorf("%s: %s", file, gd.Message(err))
+		return Settings{}, gd.Invalid.Errorf("%s:%s %s", file, lineOf(data, keyOf(gd.Message(err))), gd.Message(err))
 	}
 	return w.Settings, nil
 }
 
+// keyOf returns the key that a message of a check begins with, without the place
+// in a list.
+func keyOf(message string) string {
+	key, _, _ := strings.Cut(strings.TrimPrefix(message, "key "), ":")
+	key, _, _ = strings.Cut(key, "[")
+	return key
+}
+
 func (s Settings) check() error {
 	for _, required := range []struct{ key, value string }{
 		{"data-centre", s.DataCentre},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -40,25 +40,25 @@
 }
 
 func TestBadSettingsNameFileAndPlace(t *testing.T) {
-	for name, c := range map[string]struct{ old, replacement, text string }{
-		"unknown key":       {"gather:", "gathre:", "[9:1] unknown field"},
-		"missing key":       {"region: tr-west\n", "", "key region: missing"},
-		"not a duration":    {"500ms", "soon", `key gather: "soon" is not a duration`},
-		"out of range":      {"500ms", "1h", "key gather: 1h0m0s is not from"},
-		"platform address":  {"http://127.0.0.1:9000", "127.0.0.1", "key platform.address"},
-		"public operator":   {"gather: 500ms", "listen:\n  operator: 10.0.0.1:8081", "tokens.operator-file is needed"},
-		"public announce":   {"gather: 500ms", "listen:\n  announce: 10.0.0.1:8081", "tokens.announce-file is needed"},
-		"host name":         {"gather: 500ms", "listen:\n  calls: localhost:80", "not an IP address"},
-		"unspecified peers": {"gather: 500ms", "listen:\n  peers: 0.0.0.0:8443", "the VM's own address"},
-		"log level":         {"gather: 500ms", "log:\n  level: loud", "key log.level"},
-		"seed":              {"gather: 500ms", "seeds: [ten]", "key seeds[0]"},
-		"claim writes":      {"  address:", "  claim-writes-per-second: 99\n  address:", "key platform.claim-writes-per-second"},
+	for name, c := range map[string]struct{ old, replacement, line, text string }{
+		"unknown key":       {"gather:", "gathre:", "", "[9:1] unknown field"},
+		"missing key":       {"region: tr-west\n", "", "1", "key region: missing"},
+		"not a duration":    {"500ms", "soon", "9", `key gather: "soon" is not a duration`},
+		"out of range":      {"500ms", "1h", "9", "key gather: 1h0m0s is not from"},
+		"platform address":  {"http://127.0.0.1:9000", "127.0.0.1", "4", "key platform.address"},
+		"public operator":   {"gather: 500ms", "listen:\n  operator: 10.0.0.1:8081", "10", "tokens.operator-file is needed"},
+		"public announce":   {"gather: 500ms", "listen:\n  announce: 10.0.0.1:8081", "10", "tokens.announce-file is needed"},
+		"host name":         {"gather: 500ms", "listen:\n  calls: localhost:80", "10", "not an IP address"},
+		"unspecified peers": {"gather: 500ms", "listen:\n  peers: 0.0.0.0:8443", "10", "the VM's own address"},
+		"log level":         {"gather: 500ms", "log:\n  level: loud", "10", "key log.level"},
+		"seed":              {"gather: 500ms", "seeds: [ten]", "9", "key seeds[0]"},
+		"claim writes":      {"  address:", "  claim-writes-per-second: 99\n  address:", "4", "key platform.claim-writes-per-second"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			_, err := Parse([]byte(strings.Replace(sound, c.old, c.replacement, 1)), "node.yaml")
 			is.True(gd.Invalid.Is(err))
-			is.True(strings.HasPrefix(gd.Message(err), "node.yaml: "))
+			is.True(strings.HasPrefix(gd.Message(err), "node.yaml:"+c.line+" "))
 			if !strings.Contains(gd.Message(err), c.text) {
 				t.Fatalf("%q lacks %q", gd.Message(err), c.text)
 			}
