--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -52,10 +52,11 @@
 
 // Snapshot is an immutable view of what is known.
 type Snapshot struct {
-	Policy    *route.Policy // nil until one is known
-	Directory server.Directory
-	Serving   map[string][]server.Record // by service, ordered by node
-	Register  quarantine.Register
+	Policy      *route.Policy // nil until one is known
+	PolicySince time.Duration // instant from which it is in force
+	Directory   server.Directory
+	Serving     map[string][]server.Record // by service, ordered by node
+	Register    quarantine.Register
 }
 
 // Nodes returns the number of nodes known, this one included.
@@ -81,26 +82,27 @@
 
 // state is owned by the control goroutine.
 type state struct {
-	r         *Roster
-	ctx       context.Context // ends with Run, and with it what is under way to other nodes
-	policy    *route.Policy
-	raw       []byte // the policy as the catalogue holds it
-	sum       uint64 // of raw
-	before    earlier
-	directory server.Directory
-	register  quarantine.Register
-	own       server.Record
-	hasOwn    bool
-	adopted   server.Record            // that an earlier process left and that was taken up
-	stored    server.Record            // own record as the catalogue holds it
-	revision  uint64                   // of the own entry, 0 if there is none
-	changed   map[string]time.Duration // when a node's record was last replaced
-	missing   map[string]time.Duration // since when the catalogue lacks a known node's entry
-	heard     map[string]time.Duration // when a node was last heard directly
-	forgotten map[string]server.Record // forgotten ones, so that other nodes do not bring them back
-	left      bool
-	announced uint64 // number of the announced record that was taken over
-	asking    uint64 // version of the policy that another node is asked for, 0 for none
+	r           *Roster
+	ctx         context.Context // ends with Run, and with it what is under way to other nodes
+	policy      *route.Policy
+	policySince time.Duration
+	raw         []byte // the policy as the catalogue holds it
+	sum         uint64 // of raw
+	before      earlier
+	directory   server.Directory
+	register    quarantine.Register
+	own         server.Record
+	hasOwn      bool
+	adopted     server.Record            // that an earlier process left and that was taken up
+	stored      server.Record            // own record as the catalogue holds it
+	revision    uint64                   // of the own entry, 0 if there is none
+	changed     map[string]time.Duration // when a node's record was last replaced
+	missing     map[string]time.Duration // since when the catalogue lacks a known node's entry
+	heard       map[string]time.Duration // when a node was last heard directly
+	forgotten   map[string]server.Record // forgotten ones, so that other nodes do not bring them back
+	left        bool
+	announced   uint64 // number of the announced record that was taken over
+	asking      uint64 // version of the policy that another node is asked for, 0 for none
 
 	compressed   []byte // raw as it is sent to other nodes
 	compressedOf uint64 // its version
@@ -193,7 +195,7 @@
 	if old.Policy == s.policy && old.Directory.Generation() == s.directory.Generation() && old.Register.Generation() == s.register.Generation() {
 		return
 	}
-	next := &Snapshot{Policy: s.policy, Directory: s.directory, Serving: old.Serving, Register: s.register}
+	next := &Snapshot{Policy: s.policy, PolicySince: s.policySince, Directory: s.directory, Serving: old.Serving, Register: s.register}
 	if old.Directory.Generation() != s.directory.Generation() {
 		next.Serving = s.directory.Serving()
 	}
@@ -215,6 +217,7 @@
 	first := s.policy == nil
 	s.before = earlier{version: s.version(), sum: s.sum, raw: s.raw}
 	s.policy, s.raw, s.sum = p, raw, sumOf(raw)
+	s.policySince = s.r.cfg.Clock.Monotonic()
 	s.r.revision.Store(max(revision, s.r.revision.Load()))
 	s.show()
 	if first {
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -67,6 +67,7 @@
 	Kind    gd.Kind // of the error, if Failed
 	Failed  bool
 	Status  int
+	Route   string // kind of its route
 	Took    time.Duration
 	Tries   int // nodes that were asked
 	Reached int // servers that it reached
--- a/internal/proxy/ingress/refuse.go
+++ b/internal/proxy/ingress/refuse.go
@@ -52,14 +52,26 @@
 	if j.id != "" {
 		platform.SetRequestID(h, j.id)
 	}
-	j.log(code, err)
+	j.log(code, err, "retry-after", h.Get("Retry-After"))
 	return &http.Response{StatusCode: code, Header: h, Body: io.NopCloser(strings.NewReader(text)), ContentLength: int64(len(text))}
 }
 
-// log writes the line of the request and has its outcome counted.
-func (j *journey) log(code int, err error) {
+// routeKind says whether the request may run more than once.
+func (j *journey) routeKind() string {
+	switch {
+	case j.route == nil:
+		return "none"
+	case j.route.Idempotent:
+		return "idempotent"
+	}
+	return "once"
+}
+
+// log writes the line of the request, with more fields, and has its outcome
+// counted.
+func (j *journey) log(code int, err error, more ...any) {
 	now := j.g.cfg.Clock.Monotonic()
-	o := Outcome{Status: code, Took: now - j.began, Tries: j.search.Asked(), Reached: j.reached}
+	o := Outcome{Status: code, Route: j.routeKind(), Took: now - j.began, Tries: j.search.Asked(), Reached: j.reached}
 	if err != nil {
 		o.Failed, o.Kind = true, gd.KindOf(err)
 	}
@@ -76,7 +88,7 @@
 		fields = append(fields, "version", j.snapshot.Policy.Version)
 	}
 	if err != nil {
-		fields = append(fields, "kind", o.Kind.String(), "error", gd.Message(err))
+		fields = append(append(fields, "kind", o.Kind.String(), "error", gd.Message(err)), more...)
 	}
 	j.g.cfg.Log.Info(event.RequestEnded, fields...)
 }
--- a/internal/proxy/sidecar/log_test.go
+++ b/internal/proxy/sidecar/log_test.go
@@ -66,7 +66,7 @@
 			},
 			request: fleet.Request{Path: "/short/1"},
 			status:  http.StatusServiceUnavailable,
-			want:    []string{"request-refused", "running=1", "slots=1", "request-ended", "kind=", "reached=0", "status=503", "queue-full"},
+			want:    []string{"request-refused", "running=1", "slots=1", "request-ended", "kind=", "reached=0", "retry-after=0.", "status=503", "queue-full"},
 		},
 		"lost answer": {
 			prepare: func(f *fleet.Fleet) {
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -93,7 +93,7 @@
 			Node: st.Node, Address: s.advertised(), DataCentre: st.DataCentre, Region: st.Region,
 			Incarnation: uint64(cfg.Clock.Now()),
 		},
-		Catalogue:  cfg.Catalogue,
+		Catalogue:  meter.NewCatalogue(cfg.Catalogue, cfg.Meter, cfg.Clock),
 		Policies:   platform.ConfigKind,
 		Policy:     platform.ConfigName,
 		Servers:    serversKind,
@@ -112,7 +112,9 @@
 		Announce: func(r server.Record) { s.roster.Announce(s.ctx, r) },
 		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
 		Verdict:  s.verdict,
-		Observe:  func(o station.Outcome) { cfg.Meter.Served(o.Status, o.Wait, o.Slot) },
+		Observe: func(o station.Outcome) {
+			cfg.Meter.Served(o.Status, meter.Server{Way: o.Way, Wait: o.Wait, Slot: o.Slot})
+		},
 	})
 	s.ingress = ingress.New(ingress.Config{
 		Node: st.Node, DataCentre: st.DataCentre, Service: st.Server.Service,
@@ -122,7 +124,7 @@
 		Log:    cfg.Log,
 		Random: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		Observe: func(o ingress.Outcome) {
-			cfg.Meter.Answered(o.Status, o.Took, o.Tries, o.Reached)
+			cfg.Meter.Answered(meter.Request{Status: o.Status, Route: o.Route, Took: o.Took, Nodes: o.Tries, Servers: o.Reached})
 			if o.Failed {
 				cfg.Meter.Failed(o.Kind)
 			}
@@ -179,6 +181,13 @@
 		}
 		return 0
 	})
+	m.Gauge("geraniumdock_policy_age_seconds", func() float64 {
+		snapshot := s.roster.Snapshot()
+		if snapshot.Policy == nil {
+			return 0
+		}
+		return (s.cfg.Clock.Monotonic() - snapshot.PolicySince).Seconds()
+	})
 	m.Gauge("geraniumdock_nodes", func() float64 { return float64(s.roster.Snapshot().Nodes()) })
 	m.Gauge("geraniumdock_client_connections", func() float64 { return float64(s.clients.Connections()) })
 	m.Gauge("geraniumdock_server_connections_opened", func() float64 { return float64(s.station.Opened()) })
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -79,7 +79,7 @@
 	if a.Response != nil {
 		status = a.Response.StatusCode
 	}
-	s.cfg.Observe(Outcome{Wait: began - arrived, Slot: s.now() - began, Status: status})
+	s.cfg.Observe(Outcome{Way: r.Delayed, Wait: began - arrived, Slot: s.now() - began, Status: status})
 	if a.Err != nil || status >= http.StatusInternalServerError {
 		s.cfg.Log.Warn(event.RequestServed, "id", r.ID, "instance", s.instance(), "status", status, "reached", a.Reached,
 			"waited", (began - arrived).String(), "took", (s.now() - began).String(), "error", message(a.Err))
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -52,8 +52,8 @@
 
 // Outcome is what is measured of a request that reached the server.
 type Outcome struct {
-	Wait, Slot time.Duration
-	Status     int // 0 if there was no answer
+	Way, Wait, Slot time.Duration
+	Status          int // 0 if there was no answer
 }
 
 // Station serves one backend server. Use New.
--- /dev/null
+++ b/internal/telemetry/meter/meter_test.go
@@ -0,0 +1,90 @@
+package meter
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+)
+
+// answers is a catalogue whose calls take a while and give the same error.
+type answers struct {
+	clk *clock.Fake
+	err error
+}
+
+func (a answers) Get(context.Context, string, string) (gd.Entry, error) {
+	a.clk.Advance(time.Second)
+	return gd.Entry{}, a.err
+}
+func (a answers) List(context.Context, string) ([]gd.Entry, uint64, error) { return nil, 0, a.err }
+func (a answers) Watch(context.Context, string, uint64, time.Duration) ([]gd.Entry, uint64, error) {
+	return nil, 0, a.err
+}
+func (a answers) Put(context.Context, string, string, []byte, uint64) (gd.Entry, error) {
+	return gd.Entry{}, a.err
+}
+func (a answers) Delete(context.Context, string, string, uint64) error { return a.err }
+
+func text(m *Meter) string {
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	return w.Body.String()
+}
+
+// TestCatalogueIsCounted makes calls that succeed, conflict and get no answer.
+func TestCatalogueIsCounted(t *testing.T) {
+	is := is.New(t)
+	clk := &clock.Fake{}
+	m := New()
+	a := &answers{clk: clk}
+	c := NewCatalogue(a, m, clk)
+	_, err := c.Get(context.Background(), "k", "n")
+	is.NoErr(err)
+	a.err = gd.Conflict.Errorf("told to")
+	_, err = c.Put(context.Background(), "k", "n", nil, 1)
+	is.True(gd.Conflict.Is(err))
+	a.err = gd.Unavailable.Errorf("told to")
+	_, err = c.Get(context.Background(), "k", "n")
+	is.True(gd.Unavailable.Is(err))
+	got := text(m)
+	for _, line := range []string{
+		`geraniumdock_store_calls_total{call="get",outcome="done"} 1`,
+		`geraniumdock_store_calls_total{call="get",outcome="unavailable"} 1`,
+		`geraniumdock_store_calls_total{call="put",outcome="conflict"} 1`,
+		"geraniumdock_store_unheard_seconds 1",
+		"geraniumdock_store_seconds_count 3",
+	} {
+		if !strings.Contains(got, line+"\n") {
+			t.Fatalf("%s\nlacks %s", got, line)
+		}
+	}
+}
+
+// TestRequestsAreCounted by status, by kind of route and by the servers reached.
+func TestRequestsAreCounted(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Answered(Request{Status: 200, Route: "idempotent", Took: time.Second, Nodes: 3, Servers: 2})
+	m.Answered(Request{Status: 503, Route: "once", Took: time.Second, Nodes: 2})
+	m.Failed(gd.QueueFull)
+	m.Served(200, Server{Way: time.Second, Wait: time.Second, Slot: time.Second})
+	got := text(m)
+	for _, line := range []string{
+		`geraniumdock_requests_total{status="200"} 1`, `geraniumdock_requests_total{status="503"} 1`,
+		`geraniumdock_request_seconds_count{route="idempotent"} 1`, `geraniumdock_request_seconds_count{route="once"} 1`,
+		"geraniumdock_repeats_total 1", `geraniumdock_failures_total{kind="queue-full"} 1`,
+		"geraniumdock_way_seconds_count 1", "geraniumdock_wait_seconds_count 1", "geraniumdock_slot_seconds_count 1",
+	} {
+		if !strings.Contains(got, line+"\n") {
+			t.Fatalf("%s\nlacks %s", got, line)
+		}
+	}
+	is.True(strings.Contains(got, "geraniumdock_memory_bytes "))
+}
