A delta is taken only if it gives the policy that was told of

Read, then shown by a test that fails first: a node that asked for what has changed since one version, and took over another before the answer came, would have applied the changes to the wrong bytes. The answer's checksum is compared.

--- a/internal/fleet/roster/delta_test.go
+++ b/internal/fleet/roster/delta_test.go
@@ -5,11 +5,16 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
+	"github.com/geraniumdock/geraniumdock/server"
 )
 
 func TestDeltaGivesTheTarget(t *testing.T) {
@@ -89,3 +94,25 @@
 	tell(behind, m)
 	is.Equal(behind.Snapshot().Policy.Version, uint64(5))
 }
+
+// decodeFirst reads a policy that begins with its version in digits.
+func decodeFirst(data []byte) (*route.Policy, error) {
+	digits, _, _ := strings.Cut(string(data), " ")
+	return decodeNumber([]byte(digits))
+}
+
+// TestDeltaFromAnotherVersionIsNotTaken has a node ask for what has changed since
+// version 4 and take over version 5 before the answer comes.
+func TestDeltaFromAnotherVersionIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	four, five, six := "4 "+strings.Repeat("a", 200), "5 "+strings.Repeat("b", 200), "6 "+strings.Repeat("a", 200)
+	s := &state{
+		r:       New(Config{Self: server.Record{Node: "own"}, Decode: decodeFirst, Clock: &clock.Fake{}, Log: hclog.NewNullLogger(), Seed: 1}),
+		changed: map[string]time.Duration{}, heard: map[string]time.Duration{},
+	}
+	late := Message{Node: "peer", Version: 6, Sum: sumOf([]byte(six)), Delta: delta([]byte(four), []byte(six))}
+	s.adopt([]byte(five), 1, "store")
+	s.take(late)
+	is.Equal(s.version(), uint64(5))
+	is.Equal(string(s.raw), five)
+}
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -183,6 +183,10 @@
 	var err error
 	if m.Delta != nil {
 		raw, err = applyDelta(s.raw, m.Delta)
+		if err == nil && sumOf(raw) != m.Sum {
+			// Another policy came into force since the question.
+			err = gd.Malformed.Errorf("the delta is from another policy than version %d", s.version())
+		}
 	} else {
 		raw, err = unpack(m.Policy)
 	}
