--- a/internal/load/soak/process.go
+++ b/internal/load/soak/process.go
@@ -25,14 +25,14 @@
 	maxStderr     = 64 << 10 // bytes that are kept of what a process writes there
 )
 
-// node is one node of the fleet with its server and the ways to and from it.
+// node is one node of the fleet with its server and the proxies before it and between it and others.
 type node struct {
 	f        *fleet
 	index    int
 	service  string
 	settings string // file
 	log      *os.File
-	ways     map[string]*way
+	proxies  map[string]*proxy
 	metrics  string // address
 	at       string // address for announcements
 
@@ -48,16 +48,16 @@
 	servers int
 }
 
-// newNode prepares a node; nothing of it runs yet but its ways.
+// newNode prepares a node; nothing of it runs yet but its proxies.
 func newNode(f *fleet, index int) (*node, error) {
-	n := &node{f: f, index: index, service: service(index), ways: map[string]*way{}}
+	n := &node{f: f, index: index, service: service(index), proxies: map[string]*proxy{}}
 	free, err := freeAddresses(6)
 	if err != nil {
 		return nil, err
 	}
 	n.metrics, n.at, n.address = free[3], free[4], free[5]
 	for on, target := range map[string]string{AtClients: free[0], AtPeers: free[1], AtServer: n.address, AtStore: f.store} {
-		if n.ways[on], err = newWay(target); err != nil {
+		if n.proxies[on], err = newProxy(target); err != nil {
 			return nil, err
 		}
 	}
@@ -71,8 +71,8 @@
 store: {address: "%s"}
 bounds: {drain-seconds: %g, grace-seconds: %g, repeat-ratio: %g, repeat-slack: %g}
 memory-mb: %d
-`, index, index%2, n.service, n.ways[AtServer].address(), free[0], free[1], n.ways[AtPeers].address(), free[2], n.at, n.metrics,
-		n.ways[AtStore].address(), drainBound.Seconds(), graceBound.Seconds(), repeatRatio, repeatSlack, memoryMB)
+`, index, index%2, n.service, n.proxies[AtServer].address(), free[0], free[1], n.proxies[AtPeers].address(), free[2], n.at, n.metrics,
+		n.proxies[AtStore].address(), drainBound.Seconds(), graceBound.Seconds(), repeatRatio, repeatSlack, memoryMB)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return nil, gd.Unavailable.Wrapf(err, "settings of node %d", index)
 	}
@@ -200,7 +200,7 @@
 	}
 	s := &backend.Server{
 		Service: n.service, Instance: instance, Slots: slots, Queue: queueLength, Work: workTime,
-		Every: announceEvery, Node: n.at, Advertised: n.ways[AtServer].address(),
+		Every: announceEvery, Node: n.at, Advertised: n.proxies[AtServer].address(),
 	}
 	s.StartOn(l)
 	n.server = s
@@ -221,7 +221,7 @@
 	if n.server != nil {
 		n.server.Crash()
 	}
-	for _, w := range n.ways {
+	for _, w := range n.proxies {
 		w.close()
 	}
 	n.log.Close() // the process has ended, nothing is written any more
--- a/internal/load/soak/run.go
+++ b/internal/load/soak/run.go
@@ -204,10 +204,10 @@
 		time.Sleep(e.For)
 		n.server.SetFaults(backend.Faults{})
 		n.serving.Unlock()
-	case Way:
-		n.ways[e.On].set(e.How)
+	case Network:
+		n.proxies[e.On].set(e.How)
 		time.Sleep(e.For)
-		n.ways[e.On].set("")
+		n.proxies[e.On].set("")
 	case StoreFault:
 		f.catalogue.SetFaults(storeFaults[e.How])
 		time.Sleep(e.For)
--- a/internal/load/soak/schedule.go
+++ b/internal/load/soak/schedule.go
@@ -26,12 +26,12 @@
 	ServerDrain = "server-drain" // a server leaves in order, and another takes its address after For
 	ServerCrash = "server-crash" // a server ends at once, and starts again after For under its name
 	ServerFault = "server-fault" // a server fails as How says for the time For
-	Way         = "way"          // connections to or from a node fail as How says for the time For
+	Network     = "network"      // connections to or from a node fail as How says for the time For
 	StoreFault  = "store-fault"  // the store fails as How says for the time For
 	Forget      = "forget"       // the store forgets its history
 )
 
-// What may happen to a way, and where.
+// What may happen to connections, and where.
 const (
 	Reset   = "reset"   // connections are reset, and new ones refused
 	Silence = "silence" // nothing passes
@@ -51,7 +51,7 @@
 	Node int // to which it happens, where the kind has one
 	For  time.Duration
 	How  string
-	On   string // the way that fails
+	On   string // the connections that fail
 }
 
 // IsPlanned reports whether operators do this in ordinary work.
@@ -92,7 +92,7 @@
 	for at := meanPause; at < length; at += time.Duration(rnd.ExpFloat64() * float64(meanPause)).Truncate(time.Millisecond) {
 		kinds := []string{Term, Hangup, Policy, ServerDrain, Policy}
 		if at/stretch%2 == 1 {
-			kinds = []string{Term, Kill, Kill, Pause, Hangup, Policy, Policy, ServerDrain, ServerCrash, ServerFault, Way, Way, Way, StoreFault, Forget}
+			kinds = []string{Term, Kill, Kill, Pause, Hangup, Policy, Policy, ServerDrain, ServerCrash, ServerFault, Network, Network, Network, StoreFault, Forget}
 		}
 		e := Event{
 			At: at, Kind: pick(rnd, kinds...), Node: rnd.IntN(nodes),
@@ -103,7 +103,7 @@
 			e.How = pick(rnd, "lose-answer", "cut-answer", "extra-bytes", "no-seal", "unframed", "fail", "shed")
 		case StoreFault:
 			e.How = pick(rnd, "silent", "busy", "many", "reset", "slow", "lose-writes", "late-writes", "mute")
-		case Way:
+		case Network:
 			e.How, e.On = pick(rnd, Reset, Silence, OneWay, Delay), pick(rnd, AtClients, AtPeers, AtServer, AtStore)
 		}
 		s.Events = append(s.Events, e)
--- a/internal/load/soak/traffic.go
+++ b/internal/load/soak/traffic.go
@@ -57,7 +57,7 @@
 func (n *node) ask(transport *http.Transport, q *request) {
 	ctx, cancel := context.WithTimeout(context.Background(), clientPatience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.ways[AtClients].address()+q.target, nil)
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.proxies[AtClients].address()+q.target, nil)
 	if err != nil {
 		q.err = err
 		return
