--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -136,6 +136,7 @@
 	reached int      // servers that the request has reached
 	ran     bool     // a server may have run it
 	steps   []string // what became of each try, for the log
+	givenUp string   // why no other server was tried, "" if one was or none was left
 }
 
 // plan finds the route, the service and the time of the request.
--- a/internal/proxy/ingress/refuse.go
+++ b/internal/proxy/ingress/refuse.go
@@ -84,6 +84,9 @@
 	if j.route != nil {
 		fields = append(fields, "route", j.route.Name, "left", (j.final - now).String())
 	}
+	if j.givenUp != "" {
+		fields = append(fields, "given-up", j.givenUp)
+	}
 	if j.snapshot.Policy != nil {
 		fields = append(fields, "version", j.snapshot.Policy.Version)
 	}
--- a/internal/proxy/ingress/try.go
+++ b/internal/proxy/ingress/try.go
@@ -183,24 +183,53 @@
 	return j.route.Idempotent && status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout
 }
 
-// mayGoOn reports whether the request may be sent to another server after a.
+// Reasons why a request is not sent to another server.
+const (
+	gaveUpLeft      = "client-left"
+	gaveUpTime      = "no-time"
+	gaveUpBody      = "body-cut"
+	gaveUpHopeless  = "hopeless"
+	gaveUpSuspected = "quarantined"
+	gaveUpRan       = "may-have-run"
+	gaveUpAttempts  = "attempts-used"
+	gaveUpBudget    = "no-budget"
+)
+
+// mayGoOn reports whether the request may be sent to another server after a. If
+// not, it notes why.
 func (j *journey) mayGoOn(ctx context.Context, a request.Answer) bool {
+	j.givenUp = j.obstacle(ctx, a)
+	return j.givenUp == ""
+}
+
+// obstacle returns why the request may not be sent to another server after a, or
+// "". Where nothing else is in the way, it takes a repeat from the budget.
+func (j *journey) obstacle(ctx context.Context, a request.Answer) string {
 	now := j.g.cfg.Clock.Monotonic()
 	switch {
-	case ctx.Err() != nil, now >= j.final:
-		return false
+	case now >= j.final:
+		return gaveUpTime
+	case ctx.Err() != nil:
+		return gaveUpLeft
 	case j.r.Body != nil && j.r.Body.Err() != nil:
-		return false
-	case a.Response == nil && gd.Hopeless.Is(a.Err), gd.Quarantined.Is(a.Err):
-		return false
+		return gaveUpBody
+	case a.Response == nil && gd.Hopeless.Is(a.Err):
+		return gaveUpHopeless
+	case gd.Quarantined.Is(a.Err):
+		return gaveUpSuspected
 	case !a.Reached:
-		return true
-	case j.ran && !j.route.Idempotent, j.reached >= j.route.Attempts:
-		return false
+		return ""
+	case j.ran && !j.route.Idempotent:
+		return gaveUpRan
+	case j.reached >= j.route.Attempts:
+		return gaveUpAttempts
 	}
 	j.g.mu.Lock()
 	defer j.g.mu.Unlock()
-	return j.g.budget.Take(now, j.service, j.snapshot.Nodes())
+	if !j.g.budget.Take(now, j.service, j.snapshot.Nodes()) {
+		return gaveUpBudget
+	}
+	return ""
 }
 
 // answer passes on the answer of a server. The request's context ends with the
--- a/internal/proxy/sidecar/log_test.go
+++ b/internal/proxy/sidecar/log_test.go
@@ -76,7 +76,7 @@
 			},
 			request: fleet.Request{Method: http.MethodPost, Path: "/orders/1", Body: "x"},
 			status:  http.StatusBadGateway,
-			want:    []string{"request-served", "instance=instance-", "reached=true", "status=0", "request-ended", "kind=unknown", "reached=1", "status=502"},
+			want:    []string{"request-served", "instance=instance-", "reached=true", "status=0", "request-ended", "given-up=may-have-run", "kind=unknown", "reached=1", "status=502"},
 		},
 		"timed out": {
 			prepare: func(*fleet.Fleet) {},
