Herd restart on the stand-in: calls to the store and time to recover

The fleet of the tests pins the metrics port of a node that starts again: it had taken the port of another.

--- /dev/null
+++ b/internal/proxy/sidecar/herd_bench_test.go
@@ -0,0 +1,77 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
+	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+)
+
+// BenchmarkHerdRestart kills all nodes of a fleet and starts them again at once.
+// It reports the time until every node knows the policy and all servers, and the
+// calls to the store meanwhile: all of them, and the most in one second.
+func BenchmarkHerdRestart(b *testing.B) {
+	for _, n := range []int{13, 91, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f, err := fleet.Start(fleet.Spec{Nodes: shop(n), Routes: routes, Slots: 2, RepeatSlack: 1000})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer f.Close()
+			for b.Loop() {
+				restartAll(b, f)
+			}
+		})
+	}
+}
+
+func restartAll(b *testing.B, f *fleet.Fleet) {
+	for _, vm := range f.VMs {
+		vm.Sidecar.Kill()
+	}
+	before, began := calls(f.Store.Counts()), clock.Deadline(0)
+	stop := make(chan struct{})
+	peak := make(chan int)
+	go func() { peak <- busiestSecond(f, stop) }()
+	var starting sync.WaitGroup
+	for _, vm := range f.VMs {
+		starting.Go(func() {
+			if err := f.Restart(vm); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	starting.Wait()
+	if err := f.AwaitServers(len(f.VMs)); err != nil {
+		b.Fatal(err)
+	}
+	took := clock.Since(began)
+	close(stop)
+	b.ReportMetric(took.Seconds(), "s-to-recover")
+	b.ReportMetric(float64(calls(f.Store.Counts())-before), "store-calls")
+	b.ReportMetric(float64(<-peak), "store-calls/s-at-most")
+}
+
+func calls(c catalogue.Counts) int { return c.Reads + c.Writes + c.Watches }
+
+// busiestSecond returns the most calls in a second until stop is closed.
+func busiestSecond(f *fleet.Fleet, stop <-chan struct{}) int {
+	const steps = 10 // in a second
+	tick := time.NewTicker(time.Second / steps)
+	defer tick.Stop()
+	counts := []int{calls(f.Store.Counts())}
+	most := 0
+	for {
+		select {
+		case <-tick.C:
+		case <-stop:
+			return max(most, calls(f.Store.Counts())-counts[max(0, len(counts)-steps)])
+		}
+		counts = append(counts, calls(f.Store.Counts()))
+		most = max(most, counts[len(counts)-1]-counts[max(0, len(counts)-1-steps)])
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -24,7 +24,12 @@
 	"github.com/geraniumdock/geraniumdock/settings"
 )
 
-const loopback = "127.0.0.1:0"
+const (
+	loopback = "127.0.0.1:0"
+	// nodeLoopback is where nodes listen. Connections begin at 127.0.0.1, so none
+	// takes the port of a node that starts again.
+	nodeLoopback = "127.0.1.1:0"
+)
 
 // Host is the host of all routes.
 const Host = "shop.example"
@@ -120,7 +125,7 @@
 	s := settings.Sidecar{
 		Node: fmt.Sprintf("node-%d", i), Address: "127.0.0.1", DataCentre: n.DataCentre, Region: "region",
 		Server: settings.SidecarServer{Service: n.Service, Address: server},
-		Listen: settings.SidecarListen{Clients: loopback, Peers: loopback, Ready: loopback, Announcements: loopback, Metrics: loopback},
+		Listen: settings.SidecarListen{Clients: nodeLoopback, Peers: nodeLoopback, Ready: nodeLoopback, Announcements: nodeLoopback, Metrics: nodeLoopback},
 		Store:  settings.SidecarStore{Address: f.address},
 		Bounds: settings.SidecarBounds{RepeatRatio: &f.spec.RepeatRatio, RepeatSlack: &f.spec.RepeatSlack},
 		Log:    settings.Log{Level: "info"}, LinkMbps: f.spec.LinkMbps,
@@ -149,6 +154,7 @@
 	l := &vm.Settings.Listen
 	l.Clients, l.Peers = vm.Sidecar.Address("clients"), vm.Sidecar.Address("peers")
 	l.Announcements, l.Ready = vm.Sidecar.Address("announcements"), vm.Sidecar.Address("ready")
+	l.Metrics = vm.Sidecar.Address("metrics") // another one might be that of a node that starts later
 	return f.launch(vm)
 }
 
