--- a/internal/load/soak/process.go
+++ b/internal/load/soak/process.go
@@ -25,7 +25,8 @@
 	maxStderr     = 64 << 10 // bytes that are kept of what a process writes there
 )
 
-// node is one node of the fleet with its server and the proxies before it and between it and others.
+// node is one node of the fleet, with its server and the proxies that its
+// connections pass.
 type node struct {
 	f        *fleet
 	index    int
@@ -61,7 +62,20 @@
 			return nil, err
 		}
 	}
-	n.settings = filepath.Join(f.cfg.Dir, fmt.Sprintf("node-%d.yaml", index))
+	if err := n.writeSettings(free[0], free[1], free[2]); err != nil {
+		return nil, err
+	}
+	n.log, err = os.Create(filepath.Join(f.cfg.Dir, fmt.Sprintf("node-%d.log", index)))
+	if err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "log of node %d", index)
+	}
+	return n, nil
+}
+
+// writeSettings writes the settings of the node, which listens at the given
+// addresses.
+func (n *node) writeSettings(clients, peers, ready string) error {
+	n.settings = filepath.Join(n.f.cfg.Dir, fmt.Sprintf("node-%d.yaml", n.index))
 	text := fmt.Sprintf(`node: node-%d
 address: 127.0.0.1
 data-centre: dc-%d
@@ -71,16 +85,12 @@
 store: {address: "%s"}
 bounds: {drain-seconds: %g, grace-seconds: %g, repeat-ratio: %g, repeat-slack: %g}
 memory-mb: %d
-`, index, index%2, n.service, n.proxies[AtServer].address(), free[0], free[1], n.proxies[AtPeers].address(), free[2], n.at, n.metrics,
+`, n.index, n.index%2, n.service, n.proxies[AtServer].address(), clients, peers, n.proxies[AtPeers].address(), ready, n.at, n.metrics,
 		n.proxies[AtStore].address(), drainBound.Seconds(), graceBound.Seconds(), repeatRatio, repeatSlack, memoryMB)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
-		return nil, gd.Unavailable.Wrapf(err, "settings of node %d", index)
+		return gd.Unavailable.Wrapf(err, "settings of node %d", n.index)
 	}
-	n.log, err = os.Create(filepath.Join(f.cfg.Dir, fmt.Sprintf("node-%d.log", index)))
-	if err != nil {
-		return nil, gd.Unavailable.Wrapf(err, "log of node %d", index)
-	}
-	return n, nil
+	return nil
 }
 
 // service is the service of the server beside a node.
--- a/internal/load/soak/proxy.go
+++ b/internal/load/soak/proxy.go
@@ -56,13 +56,18 @@
 // resetAll resets all connections. The caller holds p.mu.
 func (p *proxy) resetAll() {
 	for c := range p.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // the connection may be closed already
-		}
-		c.Close()
+		reset(c)
 	}
 }
 
+// reset closes a connection so that its other end sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // the connection may be closed already
+	}
+	c.Close()
+}
+
 // close ends the proxy and waits for its connections.
 func (p *proxy) close() {
 	p.listener.Close()
@@ -93,9 +98,7 @@
 	defer p.remove(from)
 	to, err := net.Dial("tcp", p.target)
 	if err != nil {
-		if t, ok := from.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // what listens behind the proxy is gone
-		}
+		reset(from) // what listens behind the proxy is gone
 		return
 	}
 	if !p.add(to) {
@@ -113,10 +116,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.how == Reset {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // it is closed either way
-		}
-		c.Close()
+		reset(c)
 		return false
 	}
 	p.conns[c] = true
@@ -152,10 +152,7 @@
 			return
 		}
 		if err != nil {
-			if t, ok := to.(*net.TCPConn); ok {
-				_ = t.SetLinger(0) // it is closed either way
-			}
-			to.Close()
+			reset(to)
 			return
 		}
 	}
