--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -40,7 +40,7 @@
 	// here: it asks for readiness once a second and believes the second miss.
 	noticeTime = 2500 * time.Millisecond
 	// stopMargin is how long before the platform kills the process it answers
-	// the last request. With 0.5 s, some did not end in time on 0.16 of a core.
+	// the last request: a sixth of the default grace time, to close connections.
 	stopMargin = time.Second
 	stopTick   = 50 * time.Millisecond
 	// repeatShare is the part of the platform's retry ratio that a node spends
