station: log and count what a server states in its responses

Logs and metrics could not tell whether a limit named by a server is ignored, forgotten by some process, or exceeded by retries. The station now logs limits, that a server leaves, and windows of 4 s in which it got more than its limit. Nothing is decided by it yet.

--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -210,6 +210,8 @@
 	m.Gauge("geraniumdock_client_connections", func() float64 { return float64(s.clientServer.Connections()) })
 	m.Gauge("geraniumdock_server_connections_opened", func() float64 { return float64(s.station.Opened()) })
 	m.Gauge("geraniumdock_slots_used", func() float64 { return float64(s.station.Load().Running) })
+	m.Gauge("geraniumdock_server_limit", s.station.Limit)
+	m.Gauge("geraniumdock_server_requests", func() float64 { return float64(s.station.Sent()) })
 	m.Gauge("geraniumdock_waiting", func() float64 { return float64(s.station.Load().Waiting) })
 }
 
--- /dev/null
+++ b/internal/proxy/station/notice.go
@@ -0,0 +1,112 @@
+package station
+
+import (
+	"net/http"
+	"time"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/platform"
+)
+
+// sentWindow is the time over which the requests sent to the server are counted.
+const sentWindow = 4 * time.Second
+
+// sentTimes holds the times at which requests were sent to the server within the last
+// sentWindow, in order.
+type sentTimes []time.Duration
+
+// add records that a request is sent at now.
+func (t *sentTimes) add(now time.Duration) { *t = append(*t, now) }
+
+// count returns the number of requests sent in the sentWindow before now.
+func (t *sentTimes) count(now time.Duration) int {
+	old := 0
+	for old < len(*t) && now-(*t)[old] >= sentWindow {
+		old++
+	}
+	*t = (*t)[old:]
+	return len(*t)
+}
+
+// notices is what the server has stated in its responses.
+type notices struct {
+	limit       float64       // requests per second that the server accepts, if isLimited
+	isLimited   bool          // the last response stated a limit
+	limitedAt   time.Duration // when the server first stated a limit
+	isLeaving   bool          // a response stated that the server is about to stop
+	invalid     string        // malformed field logged last
+	overLimitAt time.Duration // when ServerOverLimit was logged last
+}
+
+// recordNotices records what the server at which the request was sent states in its
+// response. A response with status 421 may be that of another server.
+func (s *Station) recordNotices(id string, sentTo platform.Announcement, res *http.Response) {
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	limit, isLimited, err := platform.ServerLimit(res.Header)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server.Instance != sentTo.Instance || s.server.Started != sentTo.Started {
+		return
+	}
+	if err != nil {
+		s.logInvalid(id, err)
+	} else {
+		s.recordLimit(limit, isLimited)
+	}
+	if platform.IsServerLeaving(res.Header) && !s.notices.isLeaving {
+		s.notices.isLeaving = true
+		s.cfg.Log.Info(event.ServerLeaving, "id", id, "instance", s.server.Instance, "before", s.state.String())
+	}
+}
+
+// recordLimit records the limit stated in a response. The caller holds s.mu.
+func (s *Station) recordLimit(limit float64, isLimited bool) {
+	n, now := &s.notices, s.now()
+	if isLimited != n.isLimited || limit != n.limit {
+		if !n.isLimited {
+			n.limitedAt = now
+		}
+		s.cfg.Log.Info(event.ServerLimited, "instance", s.server.Instance, "limited", isLimited, "per-second", limit,
+			"before", n.limit, "sent", s.sent.count(now))
+		n.limit, n.isLimited = limit, isLimited
+	}
+}
+
+// checkLimit logs that the server got more requests in sentWindow than its limit
+// admits. The caller holds s.mu.
+func (s *Station) checkLimit(now time.Duration) {
+	n := &s.notices
+	sent := s.sent.count(now)
+	if !n.isLimited || now-n.limitedAt < sentWindow || now-n.overLimitAt < sentWindow || float64(sent) <= n.limit*sentWindow.Seconds()+1 {
+		return
+	}
+	n.overLimitAt = now
+	s.cfg.Log.Warn(event.ServerOverLimit, "instance", s.server.Instance, "per-second", n.limit, "sent", sent,
+		"limited-for", (now - n.limitedAt).String(), "up-for", (now - s.startedAt).String())
+}
+
+// logInvalid logs a malformed field of a response. The caller holds s.mu.
+func (s *Station) logInvalid(id string, err error) {
+	if text := gd.Message(err); text != s.notices.invalid {
+		s.notices.invalid = text
+		s.cfg.Log.Warn(event.ResponseInvalid, "id", id, "instance", s.server.Instance, "error", text)
+	}
+}
+
+// Limit returns the requests per second that the server accepts, 0 if it has stated
+// no limit.
+func (s *Station) Limit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.notices.limit
+}
+
+// Sent returns the number of requests sent to the server in the last sentWindow.
+func (s *Station) Sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent.count(s.now())
+}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -268,7 +268,8 @@
 // exchange sends the request to the server. The slot is freed before it returns,
 // or when the body of a streamed response is closed.
 func (s *Station) exchange(ctx context.Context, id uint64, r request.Request) request.Result {
-	req := s.outgoingRequest(ctx, r)
+	sentTo := s.recordSent()
+	req := s.outgoingRequest(ctx, r, sentTo.Instance)
 	if _, isJoined := r.Body.(*body.Joined); isJoined {
 		defer r.Body.Close() // frees the link even after an early response
 	}
@@ -279,6 +280,7 @@
 		return request.Failed(result.Err, result.Reached)
 	}
 	res := result.Response
+	s.recordNotices(r.ID, sentTo, res)
 	prefix, complete, err := body.ReadPrefix(res)
 	if err != nil {
 		s.recordOutcome(false)
@@ -338,8 +340,19 @@
 	return err
 }
 
-// outgoingRequest returns the HTTP request to send to the server.
-func (s *Station) outgoingRequest(ctx context.Context, r request.Request) *http.Request {
+// recordSent records that a request is being sent, and returns the server that it is
+// sent to.
+func (s *Station) recordSent() platform.Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.sent.add(now)
+	s.checkLimit(now)
+	return s.server
+}
+
+// outgoingRequest returns the HTTP request to send to the server instance.
+func (s *Station) outgoingRequest(ctx context.Context, r request.Request, instance string) *http.Request {
 	h := pool.EndToEnd(r.Header)
 	left := r.Remaining
 	if deadline, ok := ctx.Deadline(); ok {
@@ -347,7 +360,7 @@
 	}
 	platform.SetDeadline(h, left)
 	platform.SetCaller(h, r.Caller)
-	platform.SetExpectedInstance(h, s.instance())
+	platform.SetExpectedInstance(h, instance)
 	return &http.Request{Method: r.Method, Host: r.Host, Header: h, Body: r.Body, ContentLength: r.ContentLength}
 }
 
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -82,19 +82,23 @@
 	interruptedAt time.Duration
 	crashes       uint64
 	probing       bool // a probe is running
+	startedAt     time.Duration
+	notices       notices // of the current incarnation of the server
+	sent          sentTimes
 	tasks         sync.WaitGroup
 }
 
 // New returns a station for the server at cfg.Address.
 func New(cfg Config) *Station {
 	return &Station{
-		cfg:      cfg,
-		pool:     pool.New(cfg.Address, platform.RequestID),
-		link:     newLink(cfg.LinkMbps),
-		queue:    admission.New(1),
-		state:    server.Lost,
-		waiting:  map[uint64]chan error{},
-		inFlight: map[uint64]quarantine.Fingerprint{},
+		cfg:       cfg,
+		pool:      pool.New(cfg.Address, platform.RequestID),
+		link:      newLink(cfg.LinkMbps),
+		queue:     admission.New(1),
+		state:     server.Lost,
+		waiting:   map[uint64]chan error{},
+		inFlight:  map[uint64]quarantine.Fingerprint{},
+		startedAt: cfg.Clock.Monotonic(),
 	}
 }
 
@@ -151,7 +155,7 @@
 		s.state = server.Up
 	}
 	if isNew {
-		s.failureRate = 0
+		s.failureRate, s.notices = 0, notices{}
 	}
 	if isNew || previous != s.state {
 		s.cfg.Log.Info(event.ServerAnnounced, "instance", a.Instance, "service", a.Service, "started", a.Started.String(),
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -71,7 +71,9 @@
 	waiting     int
 	sequence    uint64
 	draining    bool
-	misdirected int // requests addressed to another instance
+	limit       float64 // requests per second stated in responses; 0 if none
+	leaving     bool    // stated in responses
+	misdirected int     // requests addressed to another instance
 }
 
 // Start listens on a free loopback port and serves requests. It does not send an
@@ -114,6 +116,22 @@
 	s.faults = f
 }
 
+// SetLimit makes the server state in its responses that it accepts perSecond requests
+// per second, or no limit if perSecond is 0.
+func (s *Server) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
+// SetLeaving makes the server state in its responses that it is about to stop. Its
+// announcements do not change.
+func (s *Server) SetLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
 func (s *Server) announcePeriodically(ctx context.Context) {
 	tick := time.NewTicker(s.AnnounceInterval)
 	defer tick.Stop()
@@ -223,6 +241,12 @@
 	s.mu.Lock()
 	s.arrivals++
 	faults := s.faults
+	if s.limit > 0 {
+		platform.SetServerLimit(w.Header(), s.limit)
+	}
+	if s.leaving {
+		platform.SetServerLeaving(w.Header())
+	}
 	s.mu.Unlock()
 	if e := platform.ExpectedInstance(r.Header); e != "" && e != s.Instance {
 		s.mu.Lock()
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -22,6 +22,10 @@
 	ServerAnnounced     = "server-announced"
 	ServerDown          = "server-down"
 	ServerLeft          = "server-left"
+	ServerLimited       = "server-limited"    // the server has named, changed or lifted its limit
+	ServerOverLimit     = "server-over-limit" // the server got more requests than its limit
+	ServerLeaving       = "server-leaving"    // the server states in a response that it is about to stop
+	ResponseInvalid     = "response-invalid"  // a header field of the server's response is malformed
 	AnnouncementRefused = "announcement-refused"
 	RecordRefused       = "record-refused"
 	PublishFailed       = "publish-failed"
