--- /dev/null
+++ b/internal/proxy/sidecar/notice_test.go
@@ -0,0 +1,139 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+)
+
+// callers is how many requests sendAll has in flight at each node.
+const callers = 8
+
+// sendAll sends n requests to each of the nodes, callers at a time, and returns how
+// many got each status.
+func sendAll(f *fleet.Fleet, nodes []*fleet.VM, name string, n int) map[int]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	statuses := map[int]int{}
+	for i, vm := range nodes {
+		for c := range callers {
+			wg.Go(func() {
+				for j := c; j < n; j += callers {
+					a := f.Do(context.Background(), fleet.Request{VM: vm, Path: "/reads/1", ID: fmt.Sprintf("%s-%d-%d", name, i, j)})
+					mu.Lock()
+					statuses[a.Status]++
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return statuses
+}
+
+// permitted returns how many requests a server with the given limit may get within d:
+// one and a half times its limit, and five more.
+func permitted(perSecond float64, d time.Duration) int {
+	return int(1.5*perSecond*d.Seconds()) + 5
+}
+
+// awaitArrival sends reads until the server of vm has got another one.
+func awaitArrival(t *testing.T, f *fleet.Fleet, vm *fleet.VM, name string) {
+	t.Helper()
+	before, i := vm.Server.Stats().Arrivals, 0
+	if err := fleet.Await("the server gets a request", func() bool {
+		i++
+		f.Do(context.Background(), fleet.Request{VM: vm, Path: "/reads/1", ID: fmt.Sprintf("%s-%d", name, i)})
+		return vm.Server.Stats().Arrivals > before
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestServerGetsMoreRequestsThanItsLimit(t *testing.T) {
+	is := is.New(t)
+	const limit = 2
+	f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, WorkTime: 5 * time.Millisecond})
+	limited := f.VMs[0]
+	limited.Server.SetLimit(limit)
+	awaitArrival(t, f, limited, "named")
+	before, began := limited.Server.Stats().Arrivals, clock.Deadline(0)
+	statuses := sendAll(f, f.VMs, "all", 100)
+	got, took := limited.Server.Stats().Arrivals-before, clock.Since(began)
+	if got > permitted(limit, took) {
+		t.Errorf("a server that accepts %d requests/s got %d in %s", limit, got, took)
+	}
+	is.Equal(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], 300) // what does not run is refused
+	is.True(statuses[http.StatusOK] > 200)                                         // the other servers have room
+}
+
+func TestServerGetsNoRequestsAfterItsLimitIsLifted(t *testing.T) {
+	for name, limit := range map[string]float64{"low": 0.5, "zero": 1e-9} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, fleet.Spec{Nodes: shopNodes(1), Slots: 6, WorkTime: 5 * time.Millisecond})
+			f.VMs[0].Server.SetLimit(limit)
+			awaitArrival(t, f, f.VMs[0], "named")
+			f.VMs[0].Server.SetLimit(0)
+			awaitArrival(t, f, f.VMs[0], "lifted")
+			is.Equal(sendAll(f, f.VMs, "all", 24)[http.StatusOK], 24)
+		})
+	}
+}
+
+func TestServerGetsMoreRequestsThanItsLimitAfterItsNodeRestarts(t *testing.T) {
+	is := is.New(t)
+	const limit = 0.5
+	f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, WorkTime: 50 * time.Millisecond})
+	limited := f.VMs[0]
+	limited.Server.SetLimit(limit)
+	awaitArrival(t, f, limited, "named")
+	before, began := limited.Server.Stats().Arrivals, clock.Deadline(0)
+	limited.Sidecar.Kill()
+	is.NoErr(f.Restart(limited))
+	is.NoErr(limited.Server.Announce()) // the server is up, and the node has not read its own entry yet
+	is.NoErr(f.AwaitServers(3))
+	sendAll(f, f.VMs[1:], "all", 50)
+	got, took := limited.Server.Stats().Arrivals-before, clock.Since(began)
+	if got > permitted(limit, took) {
+		t.Errorf("a server that accepts %v requests/s got %d in %s", limit, got, took)
+	}
+}
+
+func TestServerThatIsLeavingGetsRequests(t *testing.T) {
+	is := is.New(t)
+	const drain = 100 * time.Millisecond
+	f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, Drain: drain})
+	leaving := f.VMs[0]
+	leaving.Server.SetLeaving()
+	awaitArrival(t, f, leaving, "notice")
+	time.Sleep(drain)
+	before := leaving.Server.Stats().Arrivals
+	is.Equal(sendAll(f, f.VMs, "all", 30)[http.StatusOK], 90)
+	is.Equal(leaving.Server.Stats().Arrivals, before)
+}
+
+func TestServerThatIsLeavingGetsRequestsAfterItsNodeRestarts(t *testing.T) {
+	is := is.New(t)
+	const drain = 100 * time.Millisecond
+	f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, Drain: drain})
+	leaving := f.VMs[0]
+	leaving.Server.SetLeaving()
+	awaitArrival(t, f, leaving, "notice")
+	is.NoErr(f.AwaitServers(2)) // all nodes know
+	leaving.Sidecar.Kill()
+	is.NoErr(f.Restart(leaving))
+	is.NoErr(leaving.Server.Announce()) // the announcement does not state that the server leaves
+	time.Sleep(drain)
+	before := leaving.Server.Stats().Arrivals
+	is.Equal(sendAll(f, f.VMs[1:], "all", 30)[http.StatusOK], 60)
+	is.Equal(leaving.Server.Stats().Arrivals, before)
+}
