limit: token bucket as a type of its own

Meter's bucket is extracted, to be shared by the limit of a backend server. Tokens due before a change of the share now count at the old rate.

--- a/limit/meter.go
+++ b/limit/meter.go
@@ -8,12 +8,11 @@
 )
 
 const (
-	burstTime              = 250 * time.Millisecond // size of the token bucket, as the time to fill it
-	demandHalfLife         = 5 * time.Second        // half-life of the measured demand
-	minDemandChange        = 0.5                    // relative change of the demand, since the last share request, that makes a new one due
-	minRequestInterval     = 5 * time.Second        // between two share requests for one limit, if only the demand has changed
-	minShareReportInterval = time.Second            // between two share requests while the share differs from the one last reported to the pool
-	renewInterval          = 15 * time.Minute       // between two share requests for an unchanged share, to renew its grant
+	demandHalfLife         = 5 * time.Second  // half-life of the measured demand
+	minDemandChange        = 0.5              // relative change of the demand, since the last share request, that makes a new one due
+	minRequestInterval     = 5 * time.Second  // between two share requests for one limit, if only the demand has changed
+	minShareReportInterval = time.Second      // between two share requests while the share differs from the one last reported to the pool
+	renewInterval          = 15 * time.Minute // between two share requests for an unchanged share, to renew its grant
 )
 
 // Meter enforces one node's shares of a service's limits. Calls that count
@@ -27,9 +26,8 @@
 
 // limiter enforces the share of one limit and measures the demand for it.
 type limiter struct {
-	share          int64         // in units of the dimension
-	tokens         float64       // in thousandths of a call
-	refilledAt     time.Duration // time of the last refill
+	share          int64  // in units of the dimension
+	bucket         Bucket // admits calls at the rate of share
 	running        int64
 	demand         float64       // in units of the dimension: the rate of calls, or the recent peak of concurrent calls
 	measuredAt     time.Duration // time of the last update of demand
@@ -62,11 +60,11 @@
 		return
 	}
 	l := m.limiter(now, s.Key)
-	l.refill(now)
 	l.share = s.Amount
 	if s.Limit > limit {
 		l.share = s.Amount * limit / s.Limit
 	}
+	l.bucket.SetRate(now, float64(l.share)/RateUnits)
 }
 
 func (m *Meter) limiter(now time.Duration, k Key) *limiter {
@@ -75,7 +73,7 @@
 	}
 	l, ok := m.limiters[k]
 	if !ok {
-		l = &limiter{refilledAt: now, measuredAt: now, requestedAt: now - renewInterval}
+		l = &limiter{bucket: NewBucket(now, 0), measuredAt: now, requestedAt: now - renewInterval}
 		m.limiters[k] = l
 	}
 	return l
@@ -147,23 +145,9 @@
 	return hasChanged || now-l.requestedAt >= renewInterval
 }
 
-// refill adds the tokens that are due for the time since the last refill.
-func (l *limiter) refill(now time.Duration) {
-	burst := max(RateUnits, float64(l.share)*burstTime.Seconds())
-	if l.share == 0 {
-		burst = 0
-	}
-	l.tokens = min(l.tokens+float64(l.share)*(now-l.refilledAt).Seconds(), burst)
-	l.refilledAt = now
-}
-
 func (l *limiter) take(now time.Duration) bool {
-	l.refill(now)
-	if l.tokens < RateUnits {
-		return false
-	}
-	l.tokens -= RateUnits
-	return true
+	l.bucket.SetRate(now, float64(l.share)/RateUnits)
+	return l.bucket.Take(now)
 }
 
 // addDemand adds units to the measured rate.
