station: few requests to a server until its first response after a restart

A node that restarts beside a limited server had forgotten the limit and sent as many requests as the server has slots before the first response named it again: 14 in 4.4 s at a limit of 0.5/s, 8 are tolerated. Nothing else can tell it: the announcements don't state the limit, and a record in the store may be out of reach. A response tells the current state in any case, so the node now waits for one: it sends one request at first, one more each 250 ms, and uses all slots from the first response on. The same holds for whatever else only responses state.

--- a/internal/proxy/station/notice.go
+++ b/internal/proxy/station/notice.go
@@ -62,6 +62,11 @@
 	} else {
 		s.recordLimit(limit, isLimited)
 	}
+	if s.awaitsResponse {
+		s.awaitsResponse = false
+		s.applySlots()
+		s.startQueued()
+	}
 	if platform.IsServerLeaving(res.Header) && !s.notices.isLeaving {
 		s.notices.isLeaving = true
 		s.cfg.Log.Info(event.ServerLeaving, "id", id, "instance", s.server.Instance, "before", s.state.String())
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -357,6 +357,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if s.firstSent == 0 {
+		s.firstSent = now
+	}
 	s.sent.add(now)
 	s.checkLimit(now)
 	return s.server
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -25,8 +25,11 @@
 const (
 	// queuedDrainShare is the fraction of Config.Drain during which requests
 	// that are already queued are still sent to a draining server.
-	queuedDrainShare     = 0.5
-	expireInterval       = 50 * time.Millisecond
+	queuedDrainShare = 0.5
+	expireInterval   = 50 * time.Millisecond
+	// widenInterval is the time after which one more request may be sent to a server
+	// whose first response is awaited. Most requests take less.
+	widenInterval        = 250 * time.Millisecond
 	failureRateSmoothing = 0.1 // weight of the newest outcome in the failure rate
 	// crashWindow is the time after an interrupted request within which a
 	// refused connection counts as a crash of the server.
@@ -81,26 +84,32 @@
 	interrupted   []quarantine.Fingerprint // in flight when their connections broke
 	interruptedAt time.Duration
 	crashes       uint64
-	probing       bool        // a probe is running
-	startTimer    *time.Timer // fires when the server's limit admits the next queued request
-	startedAt     time.Duration
-	notices       notices // of the current incarnation of the server
-	sent          sentTimes
-	tasks         sync.WaitGroup
+	probing       bool // a probe is running
+	// awaitsResponse is set until the first response of the server that this process
+	// found when it started. An earlier process may have known what such a response
+	// states, so few requests are sent until then.
+	awaitsResponse bool
+	firstSent      time.Duration // when the first request was sent to that server, 0 if none was
+	startTimer     *time.Timer   // fires when the server's limit admits the next queued request
+	startedAt      time.Duration
+	notices        notices // of the current incarnation of the server
+	sent           sentTimes
+	tasks          sync.WaitGroup
 }
 
 // New returns a station for the server at cfg.Address.
 func New(cfg Config) *Station {
 	return &Station{
-		cfg:        cfg,
-		pool:       pool.New(cfg.Address, platform.RequestID),
-		link:       newLink(cfg.LinkMbps),
-		queue:      admission.New(1),
-		state:      server.Lost,
-		waiting:    map[uint64]chan error{},
-		inFlight:   map[uint64]quarantine.Fingerprint{},
-		startTimer: stoppedTimer(),
-		startedAt:  cfg.Clock.Monotonic(),
+		cfg:            cfg,
+		pool:           pool.New(cfg.Address, platform.RequestID),
+		link:           newLink(cfg.LinkMbps),
+		queue:          admission.New(1),
+		state:          server.Lost,
+		waiting:        map[uint64]chan error{},
+		inFlight:       map[uint64]quarantine.Fingerprint{},
+		startTimer:     stoppedTimer(),
+		awaitsResponse: true,
+		startedAt:      cfg.Clock.Monotonic(),
 	}
 }
 
@@ -156,9 +165,12 @@
 	isNew := !s.known || a.Started != s.server.Started || a.Instance != s.server.Instance
 	a.Draining = a.Draining || !isNew && s.server.Draining
 	previous := s.state
+	if isNew && s.known {
+		s.awaitsResponse = false
+	}
 	s.server, s.known = a, true
 	s.coldUntil = s.now() + a.ColdStartRemaining
-	s.queue.SetSlots(a.Slots)
+	s.applySlots()
 	switch {
 	case a.Draining && previous != server.Draining:
 		s.beginDrain(server.Draining)
@@ -177,6 +189,21 @@
 	return nil
 }
 
+// applySlots sets the number of requests that may be at the server. While the first
+// response is awaited, it is one, and one more after each widenInterval. The caller
+// holds s.mu.
+func (s *Station) applySlots() {
+	slots := s.server.Slots
+	if s.awaitsResponse {
+		awaited := 1
+		if s.firstSent > 0 {
+			awaited += int((s.now() - s.firstSent) / widenInterval)
+		}
+		slots = min(slots, awaited)
+	}
+	s.queue.SetSlots(slots)
+}
+
 // isOlder reports whether a precedes b: it is from an earlier incarnation of the
 // server, or an earlier or the same announcement of the same one.
 func isOlder(a, b platform.Announcement) bool {
@@ -237,7 +264,7 @@
 	}
 	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
 	s.known, s.state = true, server.Up
-	s.queue.SetSlots(r.Slots)
+	s.applySlots()
 	s.publishRecord()
 }
 
@@ -300,6 +327,10 @@
 func (s *Station) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.awaitsResponse && s.firstSent > 0 {
+		s.applySlots()
+		s.startQueued()
+	}
 	for _, it := range s.queue.Expire(s.now()) {
 		s.refuse(it.ID, it.Refusal.Error())
 	}
