station: a server that states that it leaves drains

A server that leaves says so in its responses before, or instead of, an announcement; nothing read it, and it got requests until it stopped. The station now treats such a response like an announcement that the server drains: it refuses new requests at once and publishes the record, so that the other nodes stop choosing the server.

--- a/internal/proxy/station/notice.go
+++ b/internal/proxy/station/notice.go
@@ -7,6 +7,7 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/server"
 )
 
 const (
@@ -40,7 +41,6 @@
 	limit       float64       // requests per second that the server accepts, if isLimited
 	isLimited   bool          // the last response stated a limit
 	limitedAt   time.Duration // when the server first stated a limit
-	isLeaving   bool          // a response stated that the server is about to stop
 	invalid     string        // malformed field logged last
 	overLimitAt time.Duration // when ServerOverLimit was logged last
 }
@@ -67,9 +67,22 @@
 		s.applySlots()
 		s.startQueued()
 	}
-	if platform.IsServerLeaving(res.Header) && !s.notices.isLeaving {
-		s.notices.isLeaving = true
-		s.cfg.Log.Info(event.ServerLeaving, "id", id, "instance", s.server.Instance, "before", s.state.String())
+	if platform.IsServerLeaving(res.Header) {
+		s.recordLeaving(id)
+	}
+}
+
+// recordLeaving begins the server's drain, as an announcement that it drains does. The
+// caller holds s.mu.
+func (s *Station) recordLeaving(id string) {
+	if s.server.Draining {
+		return
+	}
+	s.cfg.Log.Info(event.ServerLeaving, "id", id, "instance", s.server.Instance, "before", s.state.String())
+	s.server.Draining = true
+	if s.state == server.Up {
+		s.beginDrain(server.Draining)
+		s.publishRecord()
 	}
 }
 
