roster: a server that drains stays so when a node restarts

The next process of a node knows its server from announcements, which may not state that it leaves. It announced the server as up with a higher version, and all nodes used it again, also those that had passed on a response which states that it leaves. If the node failed right after such a response, nobody else learned of it at all.

A drain now belongs to one start of a server and is not undone: directories keep it when a later record of the same start says up, also if the record had been dropped; a node that learns it about its own server drains it; a stopping node announces a draining server as draining, not as gone, since the server may outlast the node; and a node that passes on such a response marks the server itself.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -48,6 +48,7 @@
 	OnHeard    func(node string)   // called for each message of another node
 	OnAdoption func(server.Record) // called with a record of this node that an earlier process wrote
 	OnLeave    func(server.Record) // called with a later record of an adopted server that is draining or has left
+	OnDrain    func(server.Record) // called with a record of the server beside this node, announced as up, that states that it drains
 }
 
 // Snapshot is an immutable view of the fleet.
@@ -242,6 +243,7 @@
 // if node is "". It returns the records that were newer than the known ones. The
 // old record of a node that was dropped is not accepted from other nodes.
 func (s *state) merge(records []server.Record, node string) []server.Record {
+	records = slices.Clone(records)
 	source := "store"
 	if node != "" {
 		source = "node " + node
@@ -250,9 +252,13 @@
 			return ok && r.Node != node && r.Compare(old) <= 0
 		})
 	}
-	for _, r := range records {
+	for i, r := range records {
+		if old, ok := s.forgotten[r.Node]; ok {
+			records[i] = r.WithDrainOf(old)
+		}
 		if r.Node == s.r.cfg.Self.Node {
 			s.detectUnwrittenLeave(r)
+			s.detectDrain(r)
 		}
 	}
 	var newer []server.Record
@@ -303,6 +309,31 @@
 	}
 }
 
+// detectDrain calls OnDrain if r, a record of this node, states that the server which
+// this process has announced as up drains. An earlier process or another node has
+// learned that.
+func (s *state) detectDrain(r server.Record) {
+	if !s.hasOwn || s.own.WithDrainOf(r) == s.own {
+		return
+	}
+	s.own = s.own.WithDrainOf(r)
+	s.r.cfg.OnDrain(r)
+}
+
+// MarkDraining records that the server of rec, which is beside another node, has stated
+// that it is about to stop. That node publishes the same, unless it fails before.
+func (r *Roster) MarkDraining(ctx context.Context, rec server.Record) {
+	if rec.Node == r.cfg.Self.Node {
+		return
+	}
+	go r.post(ctx, func(s *state) {
+		known, ok := s.directory.Record(rec.Node)
+		if ok && known.State == server.Up && known.IsSameServer(rec) {
+			s.merge([]server.Record{known.WithState(server.Draining)}, rec.Node)
+		}
+	})
+}
+
 // announce makes r this node's record, raises its incarnation or sequence so that it
 // is newer than any known record of this node, and pushes it to all other nodes.
 func (s *state) announce(r server.Record) {
@@ -351,6 +382,10 @@
 	}
 	s.announced = number
 	s.keepsEntry = false
+	if known, ok := s.directory.Record(rec.Node); ok && rec.WithDrainOf(known) != rec {
+		rec = rec.WithDrainOf(known)
+		s.r.cfg.OnDrain(known)
+	}
 	rec.Incarnation = max(s.r.cfg.Self.Incarnation, s.own.Incarnation)
 	rec.Sequence = s.own.Sequence + 1
 	s.announce(rec)
@@ -372,8 +407,8 @@
 
 // Leave announces that the node stops. If its server is still up, the node may be
 // restarted: the server is announced as lost, and the node's catalogue entry is kept
-// for the next process. Otherwise the server is announced as gone and the entry is
-// removed. The pushes to other nodes and the removal go on in the background. Leave
+// for the next process. Otherwise the server is announced as gone, unless it is still
+// draining, and the entry is removed. The pushes to other nodes and the removal go on in the background. Leave
 // returns when they have been started or ctx ends.
 func (r *Roster) Leave(ctx context.Context) {
 	done := make(chan struct{})
@@ -381,10 +416,14 @@
 		defer close(done)
 		s.left = true
 		if s.hasOwn {
-			last := s.own.WithState(server.Gone)
-			if s.own.State == server.Up {
+			last := s.own
+			switch s.own.State {
+			case server.Up:
 				s.keepsEntry = true
 				last = s.own.WithState(server.Lost)
+			case server.Draining: // the server may outlast the node, and must not be used by its next process
+			default:
+				last = s.own.WithState(server.Gone)
 			}
 			last.Sequence++
 			s.announce(last)
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -223,6 +223,89 @@
 	is.Equal(left, []server.Record{gone})
 }
 
+// TestDrainOutlivesTheNodeThatKnewIt restarts the node beside a server that drains. Its
+// next process announces the server as up. Whatever arrives first at that process and at
+// another node, both must know that the server drains, until it starts anew.
+func TestDrainOutlivesTheNodeThatKnewIt(t *testing.T) {
+	up := server.Record{Node: "beside", Address: "beside:1", Service: "shop", Instance: "i", Started: 10, Incarnation: 1, Sequence: 4}
+	draining := up.WithState(server.Draining)
+	draining.Sequence = 5
+	next := up
+	next.Incarnation, next.Sequence = 2, 1
+	restarted := next
+	restarted.Started, restarted.Incarnation = 20, 3
+
+	t.Run("another node", func(t *testing.T) {
+		is := is.New(t)
+		s := newState("other", nil)
+		s.merge([]server.Record{up, draining}, "beside")
+		s.merge([]server.Record{next}, "beside")
+		is.Equal(len(s.directory.Serving()["shop"]), 0)
+		s.merge([]server.Record{restarted}, "beside")
+		is.Equal(len(s.directory.Serving()["shop"]), 1)
+	})
+	t.Run("another node that has dropped it", func(t *testing.T) {
+		is := is.New(t)
+		s := newState("other", nil)
+		s.forgotten["beside"] = draining
+		s.merge([]server.Record{next}, "beside")
+		is.Equal(len(s.directory.Serving()["shop"]), 0)
+	})
+	t.Run("next process, known before the announcement", func(t *testing.T) {
+		is := is.New(t)
+		var drained []server.Record
+		s := newState("beside", &drained)
+		s.merge([]server.Record{draining}, "")
+		s.r.latest, s.r.latestNumber = next, 1
+		s.announceLatest()
+		is.Equal(drained, []server.Record{draining})
+		is.Equal(s.own.State, server.Draining)
+	})
+	t.Run("next process, known after the announcement", func(t *testing.T) {
+		is := is.New(t)
+		var drained []server.Record
+		s := newState("beside", &drained)
+		s.r.latest, s.r.latestNumber = next, 1
+		s.announceLatest()
+		is.Equal(s.own.State, server.Up)
+		s.merge([]server.Record{draining}, "other")
+		s.merge([]server.Record{draining}, "another")
+		is.Equal(drained, []server.Record{draining})
+		is.Equal(s.own.State, server.Draining)
+	})
+}
+
+// newState returns the state of a node that has started, and appends the records that it
+// passes to OnDrain to drained.
+func newState(node string, drained *[]server.Record) *state {
+	return &state{
+		r: New(Config{
+			Self: server.Record{Node: node, Address: node + ":1"}, Clock: &clock.Fake{}, Log: hclog.NewNullLogger(),
+			OnDrain: func(r server.Record) { *drained = append(*drained, r) },
+		}),
+		ctx: context.Background(), changedAt: map[string]time.Duration{}, missingSince: map[string]time.Duration{},
+		heardAt: map[string]time.Duration{}, forgotten: map[string]server.Record{},
+	}
+}
+
+// TestServerThatStatesItLeavesIsMarked checks that a node stops using a server that
+// states that it leaves, although the node beside it publishes nothing.
+func TestServerThatStatesItLeavesIsMarked(t *testing.T) {
+	is := is.New(t)
+	r, stop := startRoster(&hangingExchanger{started: make(chan struct{})})
+	defer stop()
+	up := server.Record{Node: "beside", Address: "beside:1", Service: "shop", Instance: "i", Started: 10, Incarnation: 1}
+	send(r, Message{Node: "beside", Records: []server.Record{up}})
+	is.Equal(len(r.Snapshot().Serving["shop"]), 1)
+	earlier := up
+	earlier.Started = 9
+	r.MarkDraining(context.Background(), earlier) // a late response of an earlier start
+	r.MarkDraining(context.Background(), up)
+	for len(r.Snapshot().Serving["shop"]) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestStopDoesNotWaitForSilentPeers stops a roster while a push is in flight to a
 // peer that does not reply. The push must be canceled before it times out.
 func TestStopDoesNotWaitForSilentPeers(t *testing.T) {
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
 	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
+	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
@@ -142,6 +143,9 @@
 		s.ran = s.ran || !a.IsNotRun()
 	}
 	g := s.g
+	if a.Response != nil && platform.IsServerLeaving(a.Response.Header) {
+		g.cfg.OnLeaving(rec)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Monotonic()
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -61,7 +61,8 @@
 	Clock      gd.Clock
 	Log        hclog.Logger
 	Random     *rand.Rand
-	Observe    func(Outcome) // called once for each request when its outcome is known
+	OnLeaving  func(server.Record) // called for a response that states that the server is about to stop
+	Observe    func(Outcome)       // called once for each request when its outcome is known
 }
 
 // Outcome describes how a request ended, for metrics.
--- a/internal/proxy/sidecar/notice_test.go
+++ b/internal/proxy/sidecar/notice_test.go
@@ -132,18 +132,24 @@
 }
 
 func TestServerThatIsLeavingGetsRequestsAfterItsNodeRestarts(t *testing.T) {
-	is := is.New(t)
-	const drain = 100 * time.Millisecond
-	f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, Drain: drain})
-	leaving := f.VMs[0]
-	leaving.Server.SetLeaving()
-	awaitArrival(t, f, leaving, "notice")
-	is.NoErr(f.AwaitServers(2)) // all nodes know
-	leaving.Sidecar.Kill()
-	is.NoErr(f.Restart(leaving))
-	is.NoErr(leaving.Server.Announce()) // the announcement does not state that the server leaves
-	time.Sleep(drain)
-	before := leaving.Server.Stats().Arrivals
-	is.Equal(sendAll(f, f.VMs[1:], "all", 30)[http.StatusOK], 60)
-	is.Equal(leaving.Server.Stats().Arrivals, before)
+	for name, faults := range map[string]catalogue.Faults{"store up": {}, "store down": {Outage: catalogue.Busy}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const drain = 100 * time.Millisecond
+			f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, Drain: drain})
+			leaving := f.VMs[0]
+			leaving.Server.SetLeaving()
+			awaitArrival(t, f, leaving, "notice")
+			is.NoErr(f.AwaitServers(2)) // all nodes know
+			f.Store.SetFaults(faults)
+			leaving.Sidecar.Kill()
+			is.NoErr(f.Restart(leaving))
+			is.NoErr(leaving.Server.Announce()) // the announcement does not state that the server leaves
+			time.Sleep(drain)
+			before := leaving.Server.Stats().Arrivals
+			is.Equal(sendAll(f, f.VMs[1:], "all", 30)[http.StatusOK], 60)
+			is.Equal(leaving.Server.Stats().Arrivals, before)
+			is.NoErr(f.AwaitServers(2)) // also the restarted node
+		})
+	}
 }
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -120,6 +120,7 @@
 		OnHeard:    func(node string) { s.ingress.MarkReachable(node) },
 		OnAdoption: func(r server.Record) { s.station.Adopt(r) },
 		OnLeave:    func(r server.Record) { s.station.HandleLeave(r.Instance, r.Started) },
+		OnDrain:    func(r server.Record) { s.station.HandleDrain(r) },
 	})
 	s.station = station.New(station.Config{
 		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.DrainPeriod(), LinkMbps: st.LinkMbps,
@@ -134,10 +135,11 @@
 	s.ingress = ingress.New(ingress.Config{
 		Node: st.Node, DataCentre: st.DataCentre, Service: st.Server.Service,
 		Snapshot: s.roster.Snapshot, Peers: s.peerClient, Station: s.station,
-		Limits: retryBudget(st.Bounds),
-		Clock:  cfg.Clock,
-		Log:    cfg.Log,
-		Random: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		Limits:    retryBudget(st.Bounds),
+		Clock:     cfg.Clock,
+		Log:       cfg.Log,
+		Random:    rand.New(rand.NewPCG(cfg.Seed, 1)),
+		OnLeaving: func(r server.Record) { s.roster.MarkDraining(s.ctx, r) },
 		Observe: func(o ingress.Outcome) {
 			cfg.Meter.CountRequest(meter.Request{Status: o.Status, Route: o.Route, Duration: o.Took, NodesAsked: o.NodesAsked, ServersReached: o.Reached})
 			if o.Failed {
--- a/internal/proxy/station/notice.go
+++ b/internal/proxy/station/notice.go
@@ -72,13 +72,19 @@
 	}
 }
 
-// recordLeaving begins the server's drain, as an announcement that it drains does. The
-// caller holds s.mu.
+// recordLeaving begins the server's drain after a response which states that the server
+// is about to stop. The caller holds s.mu.
 func (s *Station) recordLeaving(id string) {
 	if s.server.Draining {
 		return
 	}
 	s.cfg.Log.Info(event.ServerLeaving, "id", id, "instance", s.server.Instance, "before", s.state.String())
+	s.drainServer()
+}
+
+// drainServer begins the server's drain, as its announcement would. The caller holds
+// s.mu.
+func (s *Station) drainServer() {
 	s.server.Draining = true
 	if s.state == server.Up {
 		s.beginDrain(server.Draining)
@@ -86,6 +92,18 @@
 	}
 }
 
+// HandleDrain begins the server's drain if r describes that server. An earlier process
+// of this node or another node has learned that it drains.
+func (s *Station) HandleDrain(r server.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server.Instance != r.Instance || s.server.Started != r.Started || s.server.Draining {
+		return
+	}
+	s.cfg.Log.Info(event.ServerLeaving, "instance", r.Instance, "before", s.state.String())
+	s.drainServer()
+}
+
 // recordLimit applies the limit stated in a response, or lifts the limit if the
 // response states none. The caller holds s.mu.
 func (s *Station) recordLimit(limit float64, isLimited bool) {
--- a/server/record.go
+++ b/server/record.go
@@ -67,12 +67,26 @@
 	)
 }
 
+// IsSameServer reports whether r and q describe the same start of a backend server.
+func (r Record) IsSameServer(q Record) bool {
+	return r.Instance != "" && r.Instance == q.Instance && r.Started == q.Started
+}
+
 // WithState returns a copy of r with state s.
 func (r Record) WithState(s State) Record {
 	r.State = s
 	return r
 }
 
+// WithDrainOf returns r in state Draining if r is up and q states that the same server
+// drains. Otherwise it returns r.
+func (r Record) WithDrainOf(q Record) Record {
+	if r.State == Up && q.State == Draining && r.IsSameServer(q) {
+		return r.WithState(Draining)
+	}
+	return r
+}
+
 // Directory is an immutable set of records by node. The zero value is empty.
 type Directory struct {
 	records    map[string]Record
@@ -85,14 +99,20 @@
 func (d Directory) Generation() uint64 { return d.generation }
 
 // WithRecords returns the directory with records merged in, and those of them that
-// were newer than the known ones. Merging is commutative and idempotent.
+// were newer than the known ones. Merging is commutative and idempotent. A server that
+// drains stays so, even if a later process of its node, which may not know it, says
+// otherwise.
 func (d Directory) WithRecords(records ...Record) (Directory, []Record) {
 	var newer []Record
 	merged := d.records
 	for _, r := range records {
-		if old, ok := merged[r.Node]; ok && r.Compare(old) <= 0 {
+		old, ok := merged[r.Node]
+		if ok && r.Compare(old) <= 0 {
 			continue
 		}
+		if ok {
+			r = r.WithDrainOf(old)
+		}
 		if newer == nil {
 			merged = maps.Clone(d.records)
 		}
