station: wait for a first response only where the server is older than the process

Server and process now count as started together if they did so within 0.5 s; older servers are found by a restarted node.

--- a/internal/proxy/sidecar/notice_test.go
+++ b/internal/proxy/sidecar/notice_test.go
@@ -15,6 +15,9 @@
 	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
 )
 
+// joinedStart is longer than a server and its node take to start together.
+const joinedStart = 600 * time.Millisecond
+
 // callers is how many requests sendAll has in flight at each node.
 const callers = 8
 
@@ -100,6 +103,7 @@
 			limited := f.VMs[0]
 			limited.Server.SetLimit(limit)
 			awaitArrival(t, f, limited, "named")
+			time.Sleep(joinedStart) // a server that is younger has started together with its node
 			before, began := limited.Server.Stats().Arrivals, clock.Deadline(0)
 			f.Store.SetFaults(faults)
 			limited.Sidecar.Kill()
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -27,6 +27,9 @@
 	// that are already queued are still sent to a draining server.
 	queuedDrainShare = 0.5
 	expireInterval   = 50 * time.Millisecond
+	// joinedStart is the longest time between the starts of a server and of its node if
+	// both start together.
+	joinedStart = 500 * time.Millisecond
 	// widenInterval is the time after which one more request may be sent to a server
 	// whose first response is awaited. Most requests take less.
 	widenInterval        = 250 * time.Millisecond
@@ -85,14 +88,15 @@
 	interruptedAt time.Duration
 	crashes       uint64
 	probing       bool // a probe is running
-	// awaitsResponse is set until the first response of the server that this process
-	// found when it started. An earlier process may have known what such a response
-	// states, so few requests are sent until then.
+	// awaitsResponse is set until the first response of a server that is older than this
+	// process. An earlier process may have known what such a response states, so few
+	// requests are sent until then.
 	awaitsResponse bool
 	firstSent      time.Duration // when the first request was sent to that server, 0 if none was
 	startTimer     *time.Timer   // fires when the server's limit admits the next queued request
-	startedAt      time.Duration
-	notices        notices // of the current incarnation of the server
+	startedAt      time.Duration // monotonic time of the start of this process
+	startTime      clock.Time    // the same by the time of day
+	notices        notices       // of the current incarnation of the server
 	sent           sentTimes
 	tasks          sync.WaitGroup
 }
@@ -100,16 +104,16 @@
 // New returns a station for the server at cfg.Address.
 func New(cfg Config) *Station {
 	return &Station{
-		cfg:            cfg,
-		pool:           pool.New(cfg.Address, platform.RequestID),
-		link:           newLink(cfg.LinkMbps),
-		queue:          admission.New(1),
-		state:          server.Lost,
-		waiting:        map[uint64]chan error{},
-		inFlight:       map[uint64]quarantine.Fingerprint{},
-		startTimer:     stoppedTimer(),
-		awaitsResponse: true,
-		startedAt:      cfg.Clock.Monotonic(),
+		cfg:        cfg,
+		pool:       pool.New(cfg.Address, platform.RequestID),
+		link:       newLink(cfg.LinkMbps),
+		queue:      admission.New(1),
+		state:      server.Lost,
+		waiting:    map[uint64]chan error{},
+		inFlight:   map[uint64]quarantine.Fingerprint{},
+		startTimer: stoppedTimer(),
+		startedAt:  cfg.Clock.Monotonic(),
+		startTime:  cfg.Clock.Now(),
 	}
 }
 
@@ -165,9 +169,7 @@
 	isNew := !s.known || a.Started != s.server.Started || a.Instance != s.server.Instance
 	a.Draining = a.Draining || !isNew && s.server.Draining
 	previous := s.state
-	if isNew && s.known {
-		s.awaitsResponse = false
-	}
+	s.awaitsResponse = s.awaitsResponse && !isNew || !s.known && s.isOlderThanProcess(a.Started)
 	s.server, s.known = a, true
 	s.coldUntil = s.now() + a.ColdStartRemaining
 	s.applySlots()
@@ -189,6 +191,12 @@
 	return nil
 }
 
+// isOlderThanProcess reports whether a server with the given start may have got requests
+// from an earlier process of this node.
+func (s *Station) isOlderThanProcess(started clock.Time) bool {
+	return started.Before(s.startTime.Add(-joinedStart))
+}
+
 // applySlots sets the number of requests that may be at the server. While the first
 // response is awaited, it is one, and one more after each widenInterval. The caller
 // holds s.mu.
@@ -264,6 +272,7 @@
 	}
 	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
 	s.known, s.state = true, server.Up
+	s.awaitsResponse = s.isOlderThanProcess(r.Started)
 	s.applySlots()
 	s.publishRecord()
 }
