admission: bodies are not sent to a server whose limit comes too late

A large body was received before its request could be started under the limit, and the request was refused then. OfferBody compares the limit's wait as well now; the test failed on the code before: its first body was accepted.

--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -171,13 +171,14 @@
 // delays all later ones, so items that would miss their objective are refused
 // before a byte of the body is sent. With mayWait false, the link must be free.
 func (q *Queue) OfferBody(now time.Duration, it Item, busy, transfer time.Duration, mayWait bool) (Refusal, bool) {
-	start := now + max(busy+transfer, q.LimitWait(now))
-	refusal := Refusal{Kind: gd.QueueFull, Wait: busy, RetryAfter: min(max(busy, q.LimitWait(now), minRetryAfter), maxRetryAfter), Remaining: it.Deadline - now}
+	limitWait := q.LimitWait(now)
+	start := now + max(busy+transfer, limitWait)
+	refusal := Refusal{Kind: gd.QueueFull, Wait: max(busy, limitWait), RetryAfter: min(max(busy, limitWait, minRetryAfter), maxRetryAfter), Remaining: it.Deadline - now}
 	switch {
 	case start+q.slotTime(it.Class) > it.Deadline:
 		refusal.Kind = gd.DeadlineUnreachable
 		return refusal, false
-	case busy <= maxFreeBacklog:
+	case busy <= maxFreeBacklog && limitWait <= busy+transfer:
 		return Refusal{}, true
 	}
 	return refusal, mayWait && q.meetsObjective(start, it)
--- a/internal/call/admission/limit_test.go
+++ b/internal/call/admission/limit_test.go
@@ -92,3 +92,23 @@
 	is.True(!q.HasRoom(time.Second))
 	is.True(q.HasRoom(5 * time.Second))
 }
+
+// TestLimitedServerRefusesBodiesEarly checks that a body is not sent if the request could
+// not start in time after it, but is sent if the limit admits it by then.
+func TestLimitedServerRefusesBodiesEarly(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(6, 100*ms)
+	q.SetLimit(0, 2) // the next request in 500 ms
+	const transfer = 100 * ms
+	refusal, ok := q.OfferBody(0, newRead(2, 0, 550*ms, 2*time.Second), 0, transfer, true)
+	is.True(!ok)
+	is.Equal(refusal.Kind, gd.QueueFull)
+	is.Equal(refusal.RetryAfter, 500*ms)
+	refusal, ok = q.OfferBody(0, newRead(2, 0, 550*ms, 580*ms), 0, transfer, true)
+	is.True(!ok)
+	is.Equal(refusal.Kind, gd.DeadlineUnreachable)
+	_, ok = q.OfferBody(0, newRead(2, 0, 800*ms, 2*time.Second), 0, transfer, true)
+	is.True(ok)
+	_, ok = q.OfferBody(400*ms, newRead(2, 400*ms, 300*ms, 2*time.Second), 0, transfer, true)
+	is.True(ok)
+}
