--- a/internal/load/emulator/node.go
+++ b/internal/load/emulator/node.go
@@ -110,8 +110,9 @@
 	for _, item := range n.queue.Start(n.sim.now) {
 		n.run(n.waiting[item.ID])
 	}
-	if wait, ok := n.queue.NextStart(n.sim.now); ok {
-		n.sim.after(wait, n.start)
+	if wait, ok := n.queue.NextStart(n.sim.now); ok && !n.startsLater {
+		n.startsLater = true
+		n.sim.after(wait, func() { n.startsLater = false; n.start() })
 	}
 }
 
--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -53,6 +53,7 @@
 	nextRoundRobin int
 	outstanding    map[string]int // number of outstanding requests from this node by target node
 	failureRatio   float64
+	startsLater    bool // start is scheduled for when the limit admits the next request
 }
 
 // request is a client's request or a call that a server makes.
