platform: a response with status 421 states nothing about the expected server

It comes from another server at a reused address. The station left its fields out, but an ingress would have marked the expected server as draining. Both read them through functions of platform that take the response now.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -408,8 +408,8 @@
 // Leave announces that the node stops. If its server is still up, the node may be
 // restarted: the server is announced as lost, and the node's catalogue entry is kept
 // for the next process. Otherwise the server is announced as gone, unless it is still
-// draining, and the entry is removed. The pushes to other nodes and the removal go on in the background. Leave
-// returns when they have been started or ctx ends.
+// draining, and the entry is removed. The pushes to other nodes and the removal go on
+// in the background. Leave returns when they have been started or ctx ends.
 func (r *Roster) Leave(ctx context.Context) {
 	done := make(chan struct{})
 	r.post(ctx, func(s *state) {
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -143,7 +143,7 @@
 		s.ran = s.ran || !a.IsNotRun()
 	}
 	g := s.g
-	if a.Response != nil && platform.IsServerLeaving(a.Response.Header) {
+	if a.Response != nil && platform.IsServerLeaving(a.Response) {
 		g.cfg.OnLeaving(rec)
 	}
 	g.mu.Lock()
--- a/internal/proxy/station/notice.go
+++ b/internal/proxy/station/notice.go
@@ -5,12 +5,19 @@
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
 const (
+	// joinedStart is the longest time between the starts of a server and of its node if
+	// both start together.
+	joinedStart = 500 * time.Millisecond
+	// widenInterval is the time after which one more request may be sent to a server
+	// whose first response is awaited. Most requests take less.
+	widenInterval = 250 * time.Millisecond
 	// sentWindow is the time over which the requests sent to the server are counted.
 	sentWindow = 4 * time.Second
 	// A server may get up to toleratedRatio times the requests that its limit admits
@@ -46,12 +53,12 @@
 }
 
 // recordNotices records what the server at which the request was sent states in its
-// response. A response with status 421 may be that of another server.
+// response. A response with status 421 is from another server.
 func (s *Station) recordNotices(id string, sentTo platform.Announcement, res *http.Response) {
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	limit, isLimited, err := platform.ServerLimit(res.Header)
+	limit, isLimited, err := platform.ServerLimit(res)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.server.Instance != sentTo.Instance || s.server.Started != sentTo.Started {
@@ -62,13 +69,58 @@
 	} else {
 		s.recordLimit(limit, isLimited)
 	}
-	if s.awaitsResponse {
-		s.awaitsResponse = false
+	s.endAwait()
+	if platform.IsServerLeaving(res) {
+		s.recordLeaving(id)
+	}
+}
+
+// awaited is the state of a station whose server is older than this process. An earlier
+// process may have known what the server's responses state, so few requests are sent
+// until the first response.
+type awaited struct {
+	isPending bool          // no response has arrived
+	firstSent time.Duration // when the first request was sent, 0 if none was
+}
+
+// slots returns the number of requests that may be at a server with the given slots:
+// one, and one more after each widenInterval, until the first response.
+func (a awaited) slots(now time.Duration, slots int) int {
+	if !a.isPending {
+		return slots
+	}
+	admitted := 1
+	if a.firstSent > 0 {
+		admitted += int((now - a.firstSent) / widenInterval)
+	}
+	return min(slots, admitted)
+}
+
+// isOlderThanProcess reports whether a server with the given start may have got requests
+// from an earlier process of this node.
+func (s *Station) isOlderThanProcess(started clock.Time) bool {
+	return started.Before(s.startTime.Add(-joinedStart))
+}
+
+// applySlots sets the number of requests that may be at the server. The caller holds
+// s.mu.
+func (s *Station) applySlots() { s.queue.SetSlots(s.awaited.slots(s.now(), s.server.Slots)) }
+
+// endAwait lets the server get as many requests as it has slots. The caller holds s.mu.
+func (s *Station) endAwait() {
+	if s.awaited.isPending {
+		s.awaited.isPending = false
 		s.applySlots()
 		s.startQueued()
 	}
-	if platform.IsServerLeaving(res.Header) {
-		s.recordLeaving(id)
+}
+
+// widen admits the requests that are due while the first response is awaited. The caller
+// holds s.mu.
+func (s *Station) widen() {
+	if s.awaited.isPending && s.awaited.firstSent > 0 {
+		s.applySlots()
+		s.startQueued()
 	}
 }
 
@@ -104,6 +156,20 @@
 	s.drainServer()
 }
 
+// recordSent records that a request is being sent, and returns the server that it is
+// sent to.
+func (s *Station) recordSent() platform.Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if s.awaited.firstSent == 0 {
+		s.awaited.firstSent = now
+	}
+	s.sent.add(now)
+	s.checkLimit(now)
+	return s.server
+}
+
 // recordLimit applies the limit stated in a response, or lifts the limit if the
 // response states none. The caller holds s.mu.
 func (s *Station) recordLimit(limit float64, isLimited bool) {
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -351,20 +351,6 @@
 	return err
 }
 
-// recordSent records that a request is being sent, and returns the server that it is
-// sent to.
-func (s *Station) recordSent() platform.Announcement {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if s.firstSent == 0 {
-		s.firstSent = now
-	}
-	s.sent.add(now)
-	s.checkLimit(now)
-	return s.server
-}
-
 // outgoingRequest returns the HTTP request to send to the server instance.
 func (s *Station) outgoingRequest(ctx context.Context, r request.Request, instance string) *http.Request {
 	h := pool.EndToEnd(r.Header)
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -25,14 +25,8 @@
 const (
 	// queuedDrainShare is the fraction of Config.Drain during which requests
 	// that are already queued are still sent to a draining server.
-	queuedDrainShare = 0.5
-	expireInterval   = 50 * time.Millisecond
-	// joinedStart is the longest time between the starts of a server and of its node if
-	// both start together.
-	joinedStart = 500 * time.Millisecond
-	// widenInterval is the time after which one more request may be sent to a server
-	// whose first response is awaited. Most requests take less.
-	widenInterval        = 250 * time.Millisecond
+	queuedDrainShare     = 0.5
+	expireInterval       = 50 * time.Millisecond
 	failureRateSmoothing = 0.1 // weight of the newest outcome in the failure rate
 	// crashWindow is the time after an interrupted request within which a
 	// refused connection counts as a crash of the server.
@@ -88,17 +82,13 @@
 	interruptedAt time.Duration
 	crashes       uint64
 	probing       bool // a probe is running
-	// awaitsResponse is set until the first response of a server that is older than this
-	// process. An earlier process may have known what such a response states, so few
-	// requests are sent until then.
-	awaitsResponse bool
-	firstSent      time.Duration // when the first request was sent to that server, 0 if none was
-	startTimer     *time.Timer   // fires when the server's limit admits the next queued request
-	startedAt      time.Duration // monotonic time of the start of this process
-	startTime      clock.Time    // the same by the time of day
-	notices        notices       // of the current incarnation of the server
-	sent           sentTimes
-	tasks          sync.WaitGroup
+	awaited       awaited
+	startTimer    *time.Timer   // fires when the server's limit admits the next queued request
+	startedAt     time.Duration // monotonic time of the start of this process
+	startTime     clock.Time    // the same by the time of day
+	notices       notices       // of the current incarnation of the server
+	sent          sentTimes
+	tasks         sync.WaitGroup
 }
 
 // New returns a station for the server at cfg.Address.
@@ -169,7 +159,11 @@
 	isNew := !s.known || a.Started != s.server.Started || a.Instance != s.server.Instance
 	a.Draining = a.Draining || !isNew && s.server.Draining
 	previous := s.state
-	s.awaitsResponse = s.awaitsResponse && !isNew || !s.known && s.isOlderThanProcess(a.Started)
+	if isNew {
+		s.failureRate, s.notices = 0, notices{}
+		s.queue.RemoveLimit()
+		s.awaited = awaited{isPending: !s.known && s.isOlderThanProcess(a.Started)}
+	}
 	s.server, s.known = a, true
 	s.coldUntil = s.now() + a.ColdStartRemaining
 	s.applySlots()
@@ -179,10 +173,6 @@
 	case !a.Draining:
 		s.state = server.Up
 	}
-	if isNew {
-		s.failureRate, s.notices = 0, notices{}
-		s.queue.RemoveLimit()
-	}
 	if isNew || previous != s.state {
 		s.cfg.Log.Info(event.ServerAnnounced, "instance", a.Instance, "service", a.Service, "started", a.Started.String(),
 			"sequence", a.Sequence, "slots", a.Slots, "state", s.state.String(), "before", previous.String(), "cold-for", a.ColdStartRemaining.String())
@@ -191,27 +181,6 @@
 	return nil
 }
 
-// isOlderThanProcess reports whether a server with the given start may have got requests
-// from an earlier process of this node.
-func (s *Station) isOlderThanProcess(started clock.Time) bool {
-	return started.Before(s.startTime.Add(-joinedStart))
-}
-
-// applySlots sets the number of requests that may be at the server. While the first
-// response is awaited, it is one, and one more after each widenInterval. The caller
-// holds s.mu.
-func (s *Station) applySlots() {
-	slots := s.server.Slots
-	if s.awaitsResponse {
-		awaited := 1
-		if s.firstSent > 0 {
-			awaited += int((s.now() - s.firstSent) / widenInterval)
-		}
-		slots = min(slots, awaited)
-	}
-	s.queue.SetSlots(slots)
-}
-
 // isOlder reports whether a precedes b: it is from an earlier incarnation of the
 // server, or an earlier or the same announcement of the same one.
 func isOlder(a, b platform.Announcement) bool {
@@ -272,7 +241,7 @@
 	}
 	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
 	s.known, s.state = true, server.Up
-	s.awaitsResponse = s.isOlderThanProcess(r.Started)
+	s.awaited.isPending = s.isOlderThanProcess(r.Started)
 	s.applySlots()
 	s.publishRecord()
 }
@@ -336,10 +305,7 @@
 func (s *Station) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.awaitsResponse && s.firstSent > 0 {
-		s.applySlots()
-		s.startQueued()
-	}
+	s.widen()
 	for _, it := range s.queue.Expire(s.now()) {
 		s.refuse(it.ID, it.Refusal.Error())
 	}
