--- a/internal/load/soak/check.go
+++ b/internal/load/soak/check.go
@@ -30,6 +30,10 @@
 	repeatRatio    = 0.2              // retries allowed per request in a window
 	repeatSlack    = 20.0             // retries allowed in a window in addition to the ratio
 	repeatWindow   = 10 * time.Second // length of the window for repeatRatio and repeatSlack
+	limitRatio     = 1.5              // requests that a limited server may get, relative to its limit
+	limitSlack     = 5                // requests that it may get in addition in a window
+	limitWindow    = 4 * time.Second  // length of the window for limitRatio and limitSlack
+	limitDelay     = 3 * time.Second  // from the first response with a limit until it is enforced
 	maxMemoryMB    = 284              // resident memory of one process
 	maxDescriptors = 4100             // open file descriptors of one process
 )
@@ -48,6 +52,8 @@
 	{"version-back", false, (*observations).versionRegressions},
 	{"lost-at-stop", false, (*observations).lostAtStop},
 	{"repeats", false, (*observations).excessRetries},
+	{"server-limit", false, (*observations).runsOverLimit},
+	{"server-leave", false, (*observations).runsAfterLeave},
 	{"resources", false, (*observations).resources},
 	{"process-end", false, (*observations).unexpectedExits},
 	{"left-over", false, (*observations).leftOverProcesses},
@@ -257,6 +263,66 @@
 	return found
 }
 
+// runsOverLimit finds the first window of each limit in which its server ran more
+// requests than it tolerates.
+func (o *observations) runsOverLimit() (found []string) {
+	for _, s := range o.servers {
+		for _, l := range s.Limits() {
+			var at []time.Duration
+			for _, r := range s.Runs() {
+				if l.Stated > 0 && r.At.Sub(l.Stated) >= limitDelay && (l.Lifted == 0 || r.At.Before(l.Lifted)) {
+					at = append(at, r.At.Sub(o.began))
+				}
+			}
+			tolerated := limitRatio*l.PerSecond*limitWindow.Seconds() + limitSlack
+			for _, from := range at {
+				if n := countBetween(at, from, from+limitWindow); float64(n) > tolerated {
+					found = append(found, fmt.Sprintf("%s accepts %.1f requests/s and ran %d from %s on, within %s", s.Instance, l.PerSecond, n, from, limitWindow))
+					break
+				}
+			}
+		}
+	}
+	return found
+}
+
+// runsAfterLeave finds requests that a node sent to a server later than drainBound after
+// it had passed on a response of that server which states that it leaves.
+func (o *observations) runsAfterLeave() (found []string) {
+	for _, s := range o.servers {
+		told := map[int]time.Duration{} // by node: when it passed on the first such response
+		for _, r := range s.Runs() {
+			q, ok := o.byID[r.ID]
+			if !ok || !q.fromLeaving {
+				continue
+			}
+			if at, known := told[q.node]; !known || q.ended < at {
+				told[q.node] = q.ended
+			}
+		}
+		for _, r := range s.Runs() {
+			q, ok := o.byID[r.ID]
+			if !ok {
+				continue
+			}
+			if at, known := told[q.node]; known && q.sent > at+drainBound && !o.wasInterrupted(q.node, at, q.sent) {
+				found = append(found, fmt.Sprintf("request %s reached %s %s after node %d had passed on that it leaves", r.ID, s.Instance, q.sent-at, q.node))
+			}
+		}
+	}
+	return found
+}
+
+// wasInterrupted reports whether the node was started, stopped or paused in the interval
+// [from, to].
+func (o *observations) wasInterrupted(node int, from, to time.Duration) bool {
+	return slices.ContainsFunc(o.incarnations, func(inc *incarnation) bool {
+		return inc.node == node && inc.started >= from && inc.started <= to
+	}) || slices.ContainsFunc(o.events, func(e Event) bool {
+		return e.Kind == Pause && e.Node == node && e.At <= to && e.At+e.For >= from
+	})
+}
+
 func (o *observations) lateVersions() (found []string) {
 	for _, s := range o.samples {
 		for _, w := range o.policyWrites {
@@ -278,7 +344,7 @@
 		}
 	}
 	return !slices.ContainsFunc(o.events, func(e Event) bool {
-		affects := e.Node == node && e.Kind != Policy && e.Kind != ServerDrain || e.Kind == StoreFault || e.Kind == StoreCompact
+		affects := e.Node == node && e.Kind != Policy && !e.isServerOperation() || e.Kind == StoreFault || e.Kind == StoreCompact
 		return affects && e.At < at && e.At+e.For > at-quietPeriod
 	})
 }
--- a/internal/load/soak/process.go
+++ b/internal/load/soak/process.go
@@ -22,6 +22,8 @@
 	queueLength      = 8
 	workTime         = 30 * time.Millisecond // running time of a request at a server
 	announceInterval = 500 * time.Millisecond
+	serverLimit      = 3.0 // requests per second that a limited server accepts
+	limitLength      = limitDelay + limitWindow
 	maxStderrBytes   = 64 << 10 // bytes of standard error that are kept for each process
 )
 
--- a/internal/load/soak/record.go
+++ b/internal/load/soak/record.go
@@ -19,6 +19,7 @@
 	status                   int // 0 unless a complete response was received
 	responseBody             string
 	signed                   bool // the response has the signature of a server
+	fromLeaving              bool // the response states that its server leaves
 	err                      error
 }
 
--- a/internal/load/soak/run.go
+++ b/internal/load/soak/run.go
@@ -196,8 +196,14 @@
 		if err := f.writePolicy(); err != nil {
 			f.cfg.Progress("write policy: " + gd.Message(err))
 		}
-	case ServerDrain, ServerCrash:
+	case ServerDrain, ServerLeave, ServerCrash:
 		n.replaceServer(e)
+	case ServerLimit:
+		n.serverMu.Lock()
+		n.server.SetLimit(serverLimit)
+		time.Sleep(limitLength + e.For)
+		n.server.SetLimit(0)
+		n.serverMu.Unlock()
 	case ServerFault:
 		n.serverMu.Lock()
 		n.server.SetFaults(serverFaults[e.Fault])
@@ -246,16 +252,21 @@
 	}
 }
 
-// replaceServer drains or crashes the server of a node and starts another at the
-// same address.
+// replaceServer drains or crashes the server of a node, or lets it leave, and starts
+// another at the same address.
 func (n *node) replaceServer(e Event) {
 	n.serverMu.Lock()
 	defer n.serverMu.Unlock()
 	instance := n.server.Instance
-	if e.Kind == ServerDrain {
+	switch e.Kind {
+	case ServerDrain:
 		if n.server.Drain() == nil {
 			add(n.f.record, &n.f.record.drains, drain{n.index, instance, n.f.now()})
 		}
+	case ServerLeave:
+		n.server.SetLeaving()
+	}
+	if e.Kind != ServerCrash {
 		time.Sleep(drainBound + serverLinger)
 		_ = n.server.Leave() // the node may be down
 		instance = n.nextInstance()
--- a/internal/load/soak/schedule.go
+++ b/internal/load/soak/schedule.go
@@ -24,6 +24,8 @@
 	Hangup       = "hangup"       // SIGHUP to a node
 	Policy       = "policy"       // the operator writes the next version of the policy
 	ServerDrain  = "server-drain" // a server drains and leaves, and another starts at its address after For
+	ServerLeave  = "server-leave" // a server states in its responses that it leaves, and leaves; another starts at its address after For
+	ServerLimit  = "server-limit" // a server states in its responses that it accepts serverLimit requests per second, for For and limitLength
 	ServerCrash  = "server-crash" // a server crashes, and starts again under the same instance name after For
 	ServerFault  = "server-fault" // a server has the given Fault for the time For
 	Network      = "network"      // the given Connection of a node has the given Fault for the time For
@@ -57,10 +59,15 @@
 // IsPlanned reports whether the event is an ordinary operation, not a fault.
 func (e Event) IsPlanned() bool {
 	switch e.Kind {
-	case Term, Hangup, Policy, ServerDrain:
+	case Term, Hangup, Policy:
 		return true
 	}
-	return false
+	return e.isServerOperation()
+}
+
+// isServerOperation reports whether the event is an ordinary operation of a server.
+func (e Event) isServerOperation() bool {
+	return e.Kind == ServerDrain || e.Kind == ServerLeave || e.Kind == ServerLimit
 }
 
 // Schedule describes the events of one run.
@@ -90,9 +97,9 @@
 	s := Schedule{Seed: seed, Nodes: nodes, Length: length}
 	rng := rand.New(rand.NewPCG(seed, 0))
 	for at := meanEventInterval; at < length; at += time.Duration(rng.ExpFloat64() * float64(meanEventInterval)).Truncate(time.Millisecond) {
-		kinds := []string{Term, Hangup, Policy, ServerDrain, Policy}
+		kinds := []string{Term, Hangup, Policy, ServerDrain, Policy, ServerLeave, ServerLimit}
 		if at/phaseLength%2 == 1 {
-			kinds = []string{Term, Kill, Kill, Pause, Hangup, Policy, Policy, ServerDrain, ServerCrash, ServerFault, Network, Network, Network, StoreFault, StoreCompact}
+			kinds = []string{Term, Kill, Kill, Pause, Hangup, Policy, Policy, ServerDrain, ServerLeave, ServerLimit, ServerCrash, ServerFault, Network, Network, Network, StoreFault, StoreCompact}
 		}
 		e := Event{
 			At: at, Kind: pick(rng, kinds...), Node: rng.IntN(nodes),
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -48,6 +48,8 @@
 		"resources":       nil,
 		"process-end":     nil,
 		"drain-bound":     {{At: quietPeriod + 500*time.Millisecond, Kind: ServerDrain, For: 100 * time.Millisecond}},
+		"server-limit":    {{Kind: ServerLimit}},
+		"server-leave":    {{Kind: ServerLeave}},
 		"apply-bound":     {{At: quietPeriod, Kind: Policy}},
 		"grace-bound":     term,
 		"recovery":        {{At: 300 * time.Millisecond, Kind: Kill, For: 100 * time.Millisecond}},
@@ -62,6 +64,10 @@
 			switch check {
 			case "apply-bound":
 				s.Length = quietPeriod + applyBound + time.Second
+			case "server-limit":
+				s.Length = limitLength
+			case "server-leave":
+				s.Length = drainBound + serverLinger
 			case "repeats":
 				s.Length = 5 * time.Second // enough to exceed the slack
 			}
--- a/internal/load/soak/traffic.go
+++ b/internal/load/soak/traffic.go
@@ -81,6 +81,7 @@
 		return
 	}
 	q.status, q.responseBody, q.signed = res.StatusCode, string(data), platform.IsSigned(res.Header)
+	q.fromLeaving = platform.IsServerLeaving(res)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -71,7 +71,7 @@
 	waiting     int
 	sequence    uint64
 	draining    bool
-	limit       float64 // requests per second stated in responses; 0 if none
+	limits      []Limit // the last one is stated in responses, unless it is lifted
 	leaving     bool    // stated in responses
 	misdirected int     // requests addressed to another instance
 }
@@ -116,12 +116,39 @@
 	s.faults = f
 }
 
+// Limit is a limit that the server has stated in its responses.
+type Limit struct {
+	PerSecond float64
+	Stated    clock.Time // first response with it, 0 if there was none
+	Lifted    clock.Time // 0 while it is in force
+}
+
 // SetLimit makes the server state in its responses that it accepts perSecond requests
 // per second, or no limit if perSecond is 0.
 func (s *Server) SetLimit(perSecond float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limit = perSecond
+	if l := s.limit(); l != nil {
+		l.Lifted = clock.System{}.Now()
+	}
+	if perSecond > 0 {
+		s.limits = append(s.limits, Limit{PerSecond: perSecond})
+	}
+}
+
+// limit returns the limit in force, nil if there is none. The caller holds s.mu.
+func (s *Server) limit() *Limit {
+	if n := len(s.limits); n > 0 && s.limits[n-1].Lifted == 0 {
+		return &s.limits[n-1]
+	}
+	return nil
+}
+
+// Limits returns the limits that were set.
+func (s *Server) Limits() []Limit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Limit(nil), s.limits...)
 }
 
 // SetLeaving makes the server state in its responses that it is about to stop. Its
@@ -241,8 +268,11 @@
 	s.mu.Lock()
 	s.arrivals++
 	faults := s.faults
-	if s.limit > 0 {
-		platform.SetServerLimit(w.Header(), s.limit)
+	if l := s.limit(); l != nil {
+		platform.SetServerLimit(w.Header(), l.PerSecond)
+		if l.Stated == 0 {
+			l.Stated = clock.System{}.Now()
+		}
 	}
 	if s.leaving {
 		platform.SetServerLeaving(w.Header())
