sidecar: a test waits for the policy of a restarted node as well

The node reads policy and servers in two loops; the test waited for the servers only and took for granted that the policy had come first. A node without a policy must answer 503, so the test waits for both. What it checks stays as it was.

--- a/internal/proxy/sidecar/fleet_test.go
+++ b/internal/proxy/sidecar/fleet_test.go
@@ -327,7 +327,10 @@
 	is.NoErr(f.VMs[0].Server.Drain())
 	<-closed
 	is.NoErr(f.Restart(f.VMs[0]))
-	is.NoErr(fleet.Await("the node knows the other server", func() bool { return servers(f.VMs[0]) > 0 }))
+	is.NoErr(fleet.Await("the node knows the policy and the other server", func() bool {
+		version, n := f.VMs[0].Sidecar.Status()
+		return version == f.Version() && n > 0
+	}))
 	for i := range 20 {
 		id := fmt.Sprint("r-", i)
 		a := f.Do(context.Background(), fleet.Request{VM: f.VMs[0], Path: "/reads/1", ID: id})
