--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -30,7 +30,6 @@
 	minRetryAfter    = 20 * time.Millisecond
 	maxRetryAfter    = 2 * time.Second
 	maxClasses       = 1024 // classes with their own mean slot time
-	minLimit         = 0.2  // requests per second that are started in any case, as only a response shows that a limit has been lifted
 )
 
 // Item is a request for a slot. Objective and Deadline are readings of the
@@ -72,21 +71,6 @@
 // Slots returns the number of slots.
 func (q *Queue) Slots() int { return q.slots }
 
-// SetLimit sets the requests per second that the server accepts. The requests that are
-// already running do not count.
-func (q *Queue) SetLimit(now time.Duration, perSecond float64) {
-	perSecond = max(perSecond, minLimit)
-	if q.bucket == nil {
-		b := limit.NewBucket(now, perSecond)
-		q.bucket = &b
-		return
-	}
-	q.bucket.SetRate(now, perSecond)
-}
-
-// RemoveLimit removes the limit set by SetLimit.
-func (q *Queue) RemoveLimit() { q.bucket = nil }
-
 // Running returns the number of slots in use.
 func (q *Queue) Running() int { return len(q.running) }
 
@@ -115,21 +99,6 @@
 	return len(q.waiting) == 0 && len(q.running) < q.slots && q.limitWait(now, 1) == 0
 }
 
-// limitWait returns the time until the server's limit admits the n-th of n items, or 0
-// if the server has no limit.
-func (q *Queue) limitWait(now time.Duration, n int) time.Duration {
-	if q.bucket == nil {
-		return 0
-	}
-	return q.bucket.Wait(now, n)
-}
-
-// LimitWait returns the time until the server's limit admits a new item that all
-// waiting ones precede, or 0 if the server has no limit.
-func (q *Queue) LimitWait(now time.Duration) time.Duration {
-	return q.limitWait(now, len(q.waiting)+1)
-}
-
 // Offer adds an item to the queue, or returns a refusal and false. With mayWait
 // false, the item is refused unless a slot is free. Start returns an accepted item
 // when it gets its slot.
@@ -322,16 +291,6 @@
 	return items
 }
 
-// NextStart returns the time after which Start must be called again because the
-// server's limit admits the next waiting item then. It reports false if no item waits
-// for that only.
-func (q *Queue) NextStart(now time.Duration) (time.Duration, bool) {
-	if q.bucket == nil || len(q.waiting) == 0 || len(q.running) >= q.slots {
-		return 0, false
-	}
-	return q.limitWait(now, 1), true
-}
-
 // Expired is an item that was removed from the queue by Expire.
 type Expired struct {
 	Item
