--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -155,7 +155,7 @@
 	}
 	load := s.Load()
 	s.cfg.Log.Info(event.RequestRefused, "id", r.ID, "kind", gd.KindOf(err).String(), "error", errorText(err),
-		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "left", r.Remaining.String())
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "limit-wait", load.LimitWait.String(), "left", r.Remaining.String())
 }
 
 func (s *Station) instance() string {
