roster: a server that has left stays so when a node restarts

A late announcement of a server that had left made it available again at a node that had just started, and by its record at all others: requests went to it until connections failed. A record in state gone could not be kept for that start of the server, as a drain is, since a stopping node writes the same for a server that was lost. A record now says whether the server itself has left, and that is kept.

TestServerThatHasLeftIsUsedAfterItsNodeRestarts failed before with the store up and down (nodes still used the server after 20 s).

--- a/internal/fleet/roster/leave.go
+++ b/internal/fleet/roster/leave.go
@@ -20,15 +20,15 @@
 	}
 }
 
-// detectDrain calls OnDrain if r, a record of this node, states that the server which
-// this process has announced as up drains. An earlier process or another node has
-// learned that.
-func (s *state) detectDrain(r server.Record) {
-	if !s.hasOwn || s.own.WithDrainOf(r) == s.own {
+// detectDeparture calls OnDeparture if r, a record of this node, states that the server
+// which this process has announced as up drains or has left. An earlier process or
+// another node has learned that.
+func (s *state) detectDeparture(r server.Record) {
+	if !s.hasOwn || s.own.WithDepartureOf(r) == s.own {
 		return
 	}
-	s.own = s.own.WithDrainOf(r)
-	s.r.cfg.OnDrain(r)
+	s.own = s.own.WithDepartureOf(r)
+	s.r.cfg.OnDeparture(r)
 }
 
 // MarkDraining records that the server of rec, which is beside another node, has stated
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -48,7 +48,9 @@
 	OnHeard    func(node string)   // called for each message of another node
 	OnAdoption func(server.Record) // called with a record of this node that an earlier process wrote
 	OnLeave    func(server.Record) // called with a later record of an adopted server that is draining or has left
-	OnDrain    func(server.Record) // called with a record of the server beside this node, announced as up, that states that it drains
+	// OnDeparture is called with a record of the server beside this node which states that
+	// it drains or has left, if this process has announced that server as up.
+	OnDeparture func(server.Record)
 }
 
 // Snapshot is an immutable view of the fleet.
@@ -254,11 +256,11 @@
 	}
 	for i, r := range records {
 		if old, ok := s.forgotten[r.Node]; ok {
-			records[i] = r.WithDrainOf(old)
+			records[i] = r.WithDepartureOf(old)
 		}
 		if r.Node == s.r.cfg.Self.Node {
 			s.detectUnwrittenLeave(r)
-			s.detectDrain(r)
+			s.detectDeparture(r)
 		}
 	}
 	var newer []server.Record
@@ -343,9 +345,9 @@
 	}
 	s.announced = number
 	s.keepsEntry = false
-	if known, ok := s.directory.Record(rec.Node); ok && rec.WithDrainOf(known) != rec {
-		rec = rec.WithDrainOf(known)
-		s.r.cfg.OnDrain(known)
+	if known, ok := s.directory.Record(rec.Node); ok && rec.WithDepartureOf(known) != rec {
+		rec = rec.WithDepartureOf(known)
+		s.r.cfg.OnDeparture(known)
 	}
 	rec.Incarnation = max(s.r.cfg.Self.Incarnation, s.own.Incarnation)
 	rec.Sequence = s.own.Sequence + 1
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -223,65 +223,70 @@
 	is.Equal(left, []server.Record{gone})
 }
 
-// TestDrainOutlivesTheNodeThatKnewIt restarts the node beside a server that drains. Its
-// next process announces the server as up. Whatever arrives first at that process and at
-// another node, both must know that the server drains, until it starts anew.
-func TestDrainOutlivesTheNodeThatKnewIt(t *testing.T) {
+// TestDepartureOutlivesTheNodeThatKnewIt restarts the node beside a server that drains or
+// has left. Its next process announces the server as up. Whatever arrives first at that
+// process and at another node, both must know of the departure, until the server starts
+// anew.
+func TestDepartureOutlivesTheNodeThatKnewIt(t *testing.T) {
 	up := server.Record{Node: "beside", Address: "beside:1", Service: "shop", Instance: "i", Started: 10, Incarnation: 1, Sequence: 4}
-	draining := up.WithState(server.Draining)
-	draining.Sequence = 5
 	next := up
 	next.Incarnation, next.Sequence = 2, 1
 	restarted := next
 	restarted.Started, restarted.Incarnation = 20, 3
+	draining := up.WithState(server.Draining)
+	draining.Sequence = 5
+	left := up.WithState(server.Gone)
+	left.Sequence, left.HasLeft = 5, true
 
-	t.Run("another node", func(t *testing.T) {
-		is := is.New(t)
-		s := newState("other", nil)
-		s.merge([]server.Record{up, draining}, "beside")
-		s.merge([]server.Record{next}, "beside")
-		is.Equal(len(s.directory.Serving()["shop"]), 0)
-		s.merge([]server.Record{restarted}, "beside")
-		is.Equal(len(s.directory.Serving()["shop"]), 1)
-	})
-	t.Run("another node that has dropped it", func(t *testing.T) {
-		is := is.New(t)
-		s := newState("other", nil)
-		s.forgotten["beside"] = draining
-		s.merge([]server.Record{next}, "beside")
-		is.Equal(len(s.directory.Serving()["shop"]), 0)
-	})
-	t.Run("next process, known before the announcement", func(t *testing.T) {
-		is := is.New(t)
-		var drained []server.Record
-		s := newState("beside", &drained)
-		s.merge([]server.Record{draining}, "")
-		s.r.latest, s.r.latestNumber = next, 1
-		s.announceLatest()
-		is.Equal(drained, []server.Record{draining})
-		is.Equal(s.own.State, server.Draining)
-	})
-	t.Run("next process, known after the announcement", func(t *testing.T) {
-		is := is.New(t)
-		var drained []server.Record
-		s := newState("beside", &drained)
-		s.r.latest, s.r.latestNumber = next, 1
-		s.announceLatest()
-		is.Equal(s.own.State, server.Up)
-		s.merge([]server.Record{draining}, "other")
-		s.merge([]server.Record{draining}, "another")
-		is.Equal(drained, []server.Record{draining})
-		is.Equal(s.own.State, server.Draining)
-	})
+	for name, departed := range map[string]server.Record{"draining": draining, "left": left} {
+		t.Run(name+", another node", func(t *testing.T) {
+			is := is.New(t)
+			s := newState("other", nil)
+			s.merge([]server.Record{up, departed}, "beside")
+			s.merge([]server.Record{next}, "beside")
+			is.Equal(len(s.directory.Serving()["shop"]), 0)
+			s.merge([]server.Record{restarted}, "beside")
+			is.Equal(len(s.directory.Serving()["shop"]), 1)
+		})
+		t.Run(name+", another node that has dropped it", func(t *testing.T) {
+			is := is.New(t)
+			s := newState("other", nil)
+			s.forgotten["beside"] = departed
+			s.merge([]server.Record{next}, "beside")
+			is.Equal(len(s.directory.Serving()["shop"]), 0)
+		})
+		t.Run(name+", next process, known before the announcement", func(t *testing.T) {
+			is := is.New(t)
+			var found []server.Record
+			s := newState("beside", &found)
+			s.merge([]server.Record{departed}, "")
+			s.r.latest, s.r.latestNumber = next, 1
+			s.announceLatest()
+			is.Equal(found, []server.Record{departed})
+			is.Equal(s.own.State, departed.State)
+		})
+		t.Run(name+", next process, known after the announcement", func(t *testing.T) {
+			is := is.New(t)
+			var found []server.Record
+			s := newState("beside", &found)
+			s.r.latest, s.r.latestNumber = next, 1
+			s.announceLatest()
+			is.Equal(s.own.State, server.Up)
+			s.merge([]server.Record{departed}, "other")
+			s.merge([]server.Record{departed}, "another")
+			is.Equal(found, []server.Record{departed})
+			is.Equal(s.own.State, departed.State)
+		})
+	}
 }
 
 // newState returns the state of a node that has started, and appends the records that it
-// passes to OnDrain to drained.
-func newState(node string, drained *[]server.Record) *state {
+// passes to OnDeparture to departed.
+func newState(node string, departed *[]server.Record) *state {
 	return &state{
 		r: New(Config{
 			Self: server.Record{Node: node, Address: node + ":1"}, Clock: &clock.Fake{}, Log: hclog.NewNullLogger(),
-			OnDrain: func(r server.Record) { *drained = append(*drained, r) },
+			OnDeparture: func(r server.Record) { *departed = append(*departed, r) },
 		}),
 		ctx: context.Background(), changedAt: map[string]time.Duration{}, missingSince: map[string]time.Duration{},
 		heardAt: map[string]time.Duration{}, forgotten: map[string]server.Record{},
--- a/internal/proxy/sidecar/notice_test.go
+++ b/internal/proxy/sidecar/notice_test.go
@@ -13,6 +13,7 @@
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
 	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+	"github.com/geraniumdock/geraniumdock/platform"
 )
 
 // joinedStart is longer than a server and its node take to start together.
@@ -157,3 +158,28 @@
 		})
 	}
 }
+
+func TestServerThatHasLeftIsUsedAfterItsNodeRestarts(t *testing.T) {
+	for name, faults := range map[string]catalogue.Faults{"store up": {}, "store down": {Outage: catalogue.Busy}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, Drain: 100 * time.Millisecond})
+			left := f.VMs[0]
+			late := left.Server.Announcement()
+			is.NoErr(left.Server.Leave())
+			is.NoErr(f.AwaitServers(2)) // all nodes know
+			f.Store.SetFaults(faults)
+			left.Sidecar.Kill()
+			is.NoErr(f.Restart(left))
+			req, err := platform.NewAnnouncement(left.Sidecar.Address("announcements"), late)
+			is.NoErr(err)
+			res, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			is.NoErr(res.Body.Close())
+			before := left.Server.Stats().Arrivals
+			is.Equal(sendAll(f, f.VMs[1:], "all", 30)[http.StatusOK], 60)
+			is.Equal(left.Server.Stats().Arrivals, before)
+			is.NoErr(f.AwaitServers(2)) // also the restarted node
+		})
+	}
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -93,19 +93,19 @@
 			Node: st.Node, Address: s.advertised(), DataCentre: st.DataCentre, Region: st.Region,
 			Incarnation: uint64(cfg.Clock.Now()),
 		},
-		Catalogue:  meter.NewCatalogue(cfg.Catalogue, cfg.Meter, cfg.Clock),
-		PolicyKind: platform.ConfigKind,
-		PolicyName: platform.ConfigName,
-		ServerKind: serversKind,
-		Decode:     new(platform.PolicyDecoder).Decode,
-		Exchanger:  s.peerClient,
-		Clock:      cfg.Clock,
-		Log:        cfg.Log,
-		Seed:       cfg.Seed,
-		OnHeard:    func(node string) { s.ingress.MarkReachable(node) },
-		OnAdoption: func(r server.Record) { s.station.Adopt(r) },
-		OnLeave:    func(r server.Record) { s.station.HandleLeave(r.Instance, r.Started) },
-		OnDrain:    func(r server.Record) { s.station.HandleDrain(r) },
+		Catalogue:   meter.NewCatalogue(cfg.Catalogue, cfg.Meter, cfg.Clock),
+		PolicyKind:  platform.ConfigKind,
+		PolicyName:  platform.ConfigName,
+		ServerKind:  serversKind,
+		Decode:      new(platform.PolicyDecoder).Decode,
+		Exchanger:   s.peerClient,
+		Clock:       cfg.Clock,
+		Log:         cfg.Log,
+		Seed:        cfg.Seed,
+		OnHeard:     func(node string) { s.ingress.MarkReachable(node) },
+		OnAdoption:  func(r server.Record) { s.station.Adopt(r) },
+		OnLeave:     func(r server.Record) { s.station.HandleLeave(r.Instance, r.Started) },
+		OnDeparture: s.handleDeparture,
 	})
 	s.station = station.New(station.Config{
 		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.DrainPeriod(), LinkMbps: st.LinkMbps,
@@ -138,6 +138,16 @@
 	return s, nil
 }
 
+// handleDeparture passes to the station what another process has learned about its
+// server, which drains or has left.
+func (s *Sidecar) handleDeparture(r server.Record) {
+	if r.HasLeft {
+		s.station.HandleLeave(r.Instance, r.Started)
+		return
+	}
+	s.station.HandleDrain(r)
+}
+
 // retryBudget returns the part of the configured repeat budget that a node uses for
 // its retries.
 func retryBudget(b settings.SidecarBounds) budget.Limits {
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -270,6 +270,7 @@
 		Slots:    s.server.Slots,
 		Started:  s.server.Started,
 		State:    s.state,
+		HasLeft:  s.state == server.Gone,
 	})
 }
 
--- a/server/record.go
+++ b/server/record.go
@@ -54,6 +54,7 @@
 	State       State      `cbor:"10,keyasint,omitempty" json:"state"`
 	Unhealthy   bool       `cbor:"11,keyasint,omitempty" json:"unhealthy"` // reported by its health endpoint; lowers the preference only slightly
 	Instance    string     `cbor:"12,keyasint,omitempty" json:"instance"`  // chosen by the server; identifies this start of it
+	HasLeft     bool       `cbor:"13,keyasint,omitempty" json:"has-left"`  // the server has stated that it left; without it, Gone may be that of its node only
 }
 
 // Compare compares two records of one node. It returns a positive number if r is
@@ -78,11 +79,11 @@
 	return r
 }
 
-// WithDrainOf returns r in state Draining if r is up and q states that the same server
-// drains. Otherwise it returns r.
-func (r Record) WithDrainOf(q Record) Record {
-	if r.State == Up && q.State == Draining && r.IsSameServer(q) {
-		return r.WithState(Draining)
+// WithDepartureOf returns r in the state of q if r is up and q states that the same
+// server drains or has left. Otherwise it returns r.
+func (r Record) WithDepartureOf(q Record) Record {
+	if r.State == Up && r.IsSameServer(q) && (q.State == Draining || q.HasLeft) {
+		r.State, r.HasLeft = q.State, q.HasLeft
 	}
 	return r
 }
@@ -100,8 +101,8 @@
 
 // WithRecords returns the directory with records merged in, and those of them that
 // were newer than the known ones. Merging is commutative and idempotent. A server that
-// drains stays so, even if a later process of its node, which may not know it, says
-// otherwise.
+// drains or has left stays so, even if a later process of its node, which may not know
+// it, says otherwise.
 func (d Directory) WithRecords(records ...Record) (Directory, []Record) {
 	var newer []Record
 	merged := d.records
@@ -111,7 +112,7 @@
 			continue
 		}
 		if ok {
-			r = r.WithDrainOf(old)
+			r = r.WithDepartureOf(old)
 		}
 		if newer == nil {
 			merged = maps.Clone(d.records)
