--- a/limit/bucket_test.go
+++ b/limit/bucket_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,3 +45,12 @@
 	b.SetRate(250*time.Millisecond, 2)
 	is.Equal(b.Wait(250*time.Millisecond, 1), 500*time.Millisecond)
 }
+
+// A bucket of ten calls per second admits the second of two calls after a further
+// tenth of a second.
+func ExampleBucket() {
+	b := NewBucket(0, 10)
+	now := 100 * time.Millisecond
+	fmt.Println(b.Take(now), b.Take(now), b.Wait(now, 1))
+	// Output: true false 100ms
+}
