--- a/internal/load/soak/check.go
+++ b/internal/load/soak/check.go
@@ -290,14 +290,14 @@
 // it had passed on a response of that server which states that it leaves.
 func (o *observations) runsAfterLeave() (found []string) {
 	for _, s := range o.servers {
-		told := map[int]time.Duration{} // by node: when it passed on the first such response
+		passedOn := map[int]time.Duration{} // by node: time of the first such response
 		for _, r := range s.Runs() {
 			q, ok := o.byID[r.ID]
 			if !ok || !q.fromLeaving {
 				continue
 			}
-			if at, known := told[q.node]; !known || q.ended < at {
-				told[q.node] = q.ended
+			if at, ok := passedOn[q.node]; !ok || q.ended < at {
+				passedOn[q.node] = q.ended
 			}
 		}
 		for _, r := range s.Runs() {
@@ -305,7 +305,7 @@
 			if !ok {
 				continue
 			}
-			if at, known := told[q.node]; known && q.sent > at+drainBound && !o.wasInterrupted(q.node, at, q.sent) {
+			if at, ok := passedOn[q.node]; ok && q.sent > at+drainBound && !o.wasInterrupted(q.node, at, q.sent) {
 				found = append(found, fmt.Sprintf("request %s reached %s %s after node %d had passed on that it leaves", r.ID, s.Instance, q.sent-at, q.node))
 			}
 		}
