A test waits for the report of a crash

Trace: node n1 reported the second crash at 18.627 s, the test sent the request again at 18.674 s, and n0 chose its server before the report, which goes over the relay, had arrived. The test took it that the report had arrived once both nodes counted two servers; but a node that has not heard of the loss yet counts two as well. It now waits until the loss is known on all nodes, which the report precedes on every link, and starts the next server then. The check is the same.

What the test had taken for granted does not hold: a request that is repeated within the time that a report takes to the other nodes may crash a third server.

--- a/node/incident_test.go
+++ b/node/incident_test.go
@@ -206,9 +206,10 @@
 	restarted := int32(0)
 	x.await("request is refused", func() bool {
 		r := poison()
-		for ; restarted < crashes.Load(); restarted++ { // the reply may precede the report of the crash
+		for ; restarted < crashes.Load(); restarted++ {
 			i := <-restart
-			x.serve(x.Nodes[i], prepareNode(i)) // a cold server: it has run no call
+			x.ok(x.AwaitServers(x.ctx, "tags", 1)) // the report of the crash precedes the news of the loss
+			x.serve(x.Nodes[i], prepareNode(i))    // a cold server: it has run no call
 		}
 		x.ok(x.AwaitServers(x.ctx, "tags", 2))
 		return r.kind == "quarantined"
