station: a server that an earlier process knew gets few requests until its first response

A process that had adopted an old record, and then heard of a later start of the server that is still older than the process, sent it as many requests as it has slots: the earlier process may have passed on a limit of that start, and was killed before it had written its record. Found by reading; the new test failed on its second case (slots 2, expected 1).

--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -162,7 +162,7 @@
 	if isNew {
 		s.failureRate, s.notices = 0, notices{}
 		s.queue.RemoveLimit()
-		s.awaited = awaited{isPending: !s.known && s.isOlderThanProcess(a.Started)}
+		s.awaited = awaited{isPending: s.isOlderThanProcess(a.Started)}
 	}
 	s.server, s.known = a, true
 	s.coldUntil = s.now() + a.ColdStartRemaining
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -110,3 +110,31 @@
 	is.True(gd.DeadlineUnreachable.Is(a.Err)) // its deadline has passed
 	is.True(a.IsNotRun())
 }
+
+// adoptedStation returns a station of a process that started at a minute, and has adopted
+// a server that started at 1 ms.
+func adoptedStation() *Station {
+	clk := &clock.Fake{}
+	clk.Advance(time.Minute)
+	s := New(Config{Address: "10.0.0.1:1", Drain: time.Second, Clock: clk, Log: hclog.NewNullLogger(), Announce: func(server.Record) {}})
+	s.Adopt(server.Record{Instance: "i", Service: "shop", Slots: 2, Started: 1})
+	return s
+}
+
+func TestServerThatAnEarlierProcessKnewGetsAllSlotsAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		started clock.Time
+		slots   int
+	}{
+		"adopted server":                          {1, 1},
+		"later start, before that of the process": {2, 1},
+		"start with the process":                  {clock.Time(time.Minute.Milliseconds()), 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := adoptedStation()
+			is.NoErr(s.HandleAnnouncement(announcement(c.started, 1)))
+			is.Equal(s.Load().Slots, c.slots)
+		})
+	}
+}
