node: a new relay announces its departure to the relays that it is linked to

Callers saw a closed node taken for lost: its server counted as failed for some seconds, and the others learned it by a timeout. Cause: a relay sends records over the links that other nodes and relays have opened to it. Other relays list the seats each 5 s only, so a relay that stops within that time has no such link, and its last record goes nowhere, although it has itself a link to each of them. It is sent over those now.

--- a/node/control.go
+++ b/node/control.go
@@ -313,6 +313,7 @@
 	own := c.n.scheduler.record(server.Gone)
 	if own.Service != "" {
 		c.announce(own)
+		c.announceToRelays()
 		c.shareSerial++
 		c.sendToRelay(&relay.ShareRequest{Service: own.Service, Incarnation: c.n.incarnation, Release: true, Serial: c.shareSerial})
 	}
@@ -322,6 +323,21 @@
 	for _, l := range c.inboundLinks {
 		l.flush()
 	}
+	for _, l := range c.relayLinks {
+		l.flush()
+	}
+}
+
+// announceToRelays sends the node's record over the links that this relay opened to other
+// relays. The hub sends over those that others opened, and a new relay may have none.
+func (c *control) announceToRelays() {
+	own, ok := c.follower.Directory().Record(c.n.name)
+	if !ok {
+		return
+	}
+	for _, l := range c.relayLinks {
+		l.send(&relay.Members{Records: []server.Record{own}})
+	}
 }
 
 // requestShares sends the scheduler's share requests. They state which shares the
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -419,6 +419,25 @@
 	is.Equal(bad.Load(), int32(0))
 }
 
+// awaitGone waits until observer knows that the server beside the node with the given
+// name is gone. It fails the test if the server is recorded as lost instead.
+func (x *testFleet) awaitGone(observer *node.Node, name string) {
+	x.t.Helper()
+	x.await(name+" is gone", func() bool {
+		records, err := observer.Servers(x.ctx)
+		x.ok(err)
+		for _, r := range records {
+			if r.Node == name && r.State == server.Lost {
+				x.t.Fatalf("%s is recorded as lost, not as gone", name)
+			}
+			if r.Node == name && r.State == server.Gone {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // TestClosingNodesAnnounceDeparture closes a relay and an ordinary node without
 // calls in flight. The other nodes must learn that they are gone from a message,
 // not by a timeout.
@@ -427,23 +446,26 @@
 	x.await("both relay seats of a data centre are taken", func() bool { return len(x.relays()) >= 3 })
 	for _, i := range []int{3, 0} {
 		x.Nodes[i].Close()
-		name := x.Nodes[i].Name()
-		x.await(name+" is gone", func() bool {
-			records, err := x.Nodes[1].Servers(x.ctx)
-			x.ok(err)
-			for _, r := range records {
-				if r.Node == name && r.State == server.Lost {
-					t.Fatalf("%s is recorded as lost, not as gone", name)
-				}
-				if r.Node == name && r.State == server.Gone {
-					return true
-				}
-			}
-			return false
-		})
+		x.awaitGone(x.Nodes[1], x.Nodes[i].Name())
 	}
 }
 
+// TestNewRelayThatClosesIsTakenForLost closes a relay to which no node has opened a link.
+func TestNewRelayThatClosesIsTakenForLost(t *testing.T) {
+	x := startTestFleet(t, 1, nil)
+	x.await("the first node is a relay", func() bool { return len(x.relays()) == 1 })
+	time.Sleep(relayDiscoveryTime)
+	x.add("n1", "dc-b", nil)
+	x.await("the second node is a relay", func() bool { return len(x.relays()) == 2 })
+	x.ok(x.AwaitServers(x.ctx, "tags", 2))
+	x.Nodes[1].Close()
+	x.awaitGone(x.Nodes[0], "n1")
+}
+
+// relayDiscoveryTime is the time for which a new relay lists the other relays often. Later
+// it finds a new one, and opens a link to it, after some seconds only.
+const relayDiscoveryTime = 4 * time.Second
+
 func TestRepeatedKeyGetsFirstResponse(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int32
