station: a granted request is checked again when it is sent

A process that is paused after a request got its slot, and wakes after seconds, sent it to the server all the same: after the deadline had passed and the caller was told so, after the server had left, or to a server of another service that has started at that address meanwhile, named as the expected one. Besides, a send whose deadline had passed counted as a failure of the server, which was then announced as lost.

beginSend checks the deadline by the clock, as the timer of the context may fire late, and the service and state of the server, before the first byte. The refusal says that the request did not run, which is true. The three cases of the new test failed before (the server got two requests, one expected).

--- a/internal/proxy/station/notice.go
+++ b/internal/proxy/station/notice.go
@@ -156,18 +156,14 @@
 	s.drainServer()
 }
 
-// recordSent records that a request is being sent, and returns the server that it is
-// sent to.
-func (s *Station) recordSent() platform.Announcement {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// recordSent records that a request is being sent. The caller holds s.mu.
+func (s *Station) recordSent() {
 	now := s.now()
 	if s.awaited.firstSent == 0 {
 		s.awaited.firstSent = now
 	}
 	s.sent.add(now)
 	s.checkLimit(now)
-	return s.server
 }
 
 // recordLimit applies the limit stated in a response, or lifts the limit if the
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/call/admission"
 	"github.com/geraniumdock/geraniumdock/internal/call/body"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
@@ -279,7 +280,11 @@
 // exchange sends the request to the server. The slot is freed before it returns,
 // or when the body of a streamed response is closed.
 func (s *Station) exchange(ctx context.Context, id uint64, r request.Request) request.Result {
-	sentTo := s.recordSent()
+	sentTo, err := s.beginSend(ctx, r)
+	if err != nil {
+		s.releaseSlot(id, false)
+		return request.Failed(err, false)
+	}
 	req := s.outgoingRequest(ctx, r, sentTo.Instance)
 	if _, isJoined := r.Body.(*body.Joined); isJoined {
 		defer r.Body.Close() // frees the link even after an early response
@@ -351,6 +356,25 @@
 	return err
 }
 
+// beginSend records that the request is being sent, and returns the server that it is sent
+// to. It returns an error if the request, which has a slot, must not be sent any more: the
+// process may have been paused since the slot was granted, and ctx may not have ended yet.
+func (s *Station) beginSend(ctx context.Context, r request.Request) (platform.Announcement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	deadline, hasDeadline := ctx.Deadline()
+	switch {
+	case hasDeadline && clock.Since(deadline) >= 0:
+		return platform.Announcement{}, gd.DeadlineUnreachable.Errorf("the request's deadline passed before it was sent to the server")
+	case s.server.Service != r.Service:
+		return platform.Announcement{}, gd.WrongInstance.Errorf("the server beside node %s belongs to service %s now", s.cfg.Node, s.server.Service)
+	case !s.mayStart():
+		return platform.Announcement{}, gd.Draining.Errorf("the server beside node %s is %s", s.cfg.Node, s.state)
+	}
+	s.recordSent()
+	return s.server, nil
+}
+
 // outgoingRequest returns the HTTP request to send to the server instance.
 func (s *Station) outgoingRequest(ctx context.Context, r request.Request, instance string) *http.Request {
 	h := pool.EndToEnd(r.Header)
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
+	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
 	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -19,11 +23,16 @@
 // newAnnouncedStation returns a station whose server has announced itself, and
 // the server states that the station publishes.
 func newAnnouncedStation(t *testing.T) (*Station, *[]server.State) {
+	t.Helper()
+	return newStationAt(t, &clock.Fake{})
+}
+
+func newStationAt(t *testing.T, clk *clock.Fake) (*Station, *[]server.State) {
 	t.Helper()
 	var states []server.State
 	s := New(Config{
 		Node: "own", Address: "10.0.0.1:1", Service: "shop", LinkMbps: 5, Drain: time.Second,
-		Clock: &clock.Fake{}, Log: hclog.NewNullLogger(),
+		Clock: clk, Log: hclog.NewNullLogger(),
 		Announce: func(r server.Record) { states = append(states, r.State) },
 		Report:   func([]quarantine.Report) {},
 		Verdict:  func(quarantine.Fingerprint) quarantine.Verdict { return quarantine.Clear },
@@ -126,7 +135,7 @@
 		started clock.Time
 		slots   int
 	}{
-		"adopted server":                          {1, 1},
+		"adopted server": {1, 1},
 		"later start, before that of the process": {2, 1},
 		"start with the process":                  {clock.Time(time.Minute.Milliseconds()), 2},
 	} {
@@ -138,3 +147,69 @@
 		})
 	}
 }
+
+// pausedContext is a context whose timer has not fired although its deadline has passed, as
+// after a pause of the process.
+type pausedContext struct{ context.Context }
+
+func (pausedContext) Deadline() (time.Time, bool) { return clock.Deadline(-time.Second), true }
+
+// orderSender returns a function that sends an order, which has a slot, to the server of s,
+// and the number of orders that have reached the server.
+func orderSender(t *testing.T, s *Station) (send func(ctx context.Context, id string) request.Result, arrivals *atomic.Int32) {
+	arrivals = new(atomic.Int32)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrivals.Add(1)
+		platform.SetRequestID(w.Header(), platform.RequestID(r.Header))
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	s.pool = pool.New(backend.Listener.Addr().String(), platform.RequestID)
+	t.Cleanup(func() {
+		s.Close()
+		backend.Close()
+	})
+	return func(ctx context.Context, id string) request.Result {
+		h := http.Header{}
+		platform.SetRequestID(h, id)
+		a := s.exchange(ctx, 1, request.Request{ID: id, Service: "shop", Method: http.MethodPost, Target: "/orders", Header: h, Remaining: time.Second})
+		if a.Response != nil {
+			a.Response.Body.Close()
+		}
+		return a
+	}, arrivals
+}
+
+func TestRequestIsSentOnAGrantThatAPauseOutlasted(t *testing.T) {
+	replacement := announcement(2, 1)
+	replacement.Instance, replacement.Service = "j", "media"
+	for name, c := range map[string]struct {
+		ctx    context.Context
+		change func(s *Station, clk *clock.Fake)
+		kind   gd.Kind
+	}{
+		"deadline has passed": {pausedContext{context.Background()}, func(*Station, *clock.Fake) {}, gd.DeadlineUnreachable},
+		"server has left": {context.Background(), func(s *Station, clk *clock.Fake) {
+			s.HandleLeave("i", 1)
+			clk.Advance(time.Minute)
+		}, gd.Draining},
+		"address belongs to another service": {context.Background(), func(s *Station, _ *clock.Fake) {
+			if err := s.HandleAnnouncement(replacement); err != nil {
+				t.Error(err)
+			}
+		}, gd.WrongInstance},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clk := &clock.Fake{}
+			clk.Advance(time.Second)
+			s, _ := newStationAt(t, clk)
+			send, arrivals := orderSender(t, s)
+			is.Equal(send(context.Background(), "first").Response.StatusCode, http.StatusNotFound) // leaves an idle connection
+			c.change(s, clk)
+			a := send(c.ctx, "late")
+			is.Equal(arrivals.Load(), int32(1))
+			is.True(a.IsNotRun())
+			is.True(c.kind.Is(a.Err))
+		})
+	}
+}
