soak: a response that states a leave counts for its own server only

That server never said so. Trace: request 4-0-135 ran at it at 16.338 s, where the event server-fault cut its response off, and was repeated at instance-0-1, which stated at 16.384 s that it leaves. The check took the response for that of each server that had run the request. It takes it for that of the last run now; its other conditions are the same, and TestChecksFindBrokenVariants/server-leave still finds the broken variant. TestResponseCountsForTheServerThatRanARepeatFirst failed before (two findings, one expected).

--- a/internal/load/soak/check.go
+++ b/internal/load/soak/check.go
@@ -293,7 +293,7 @@
 		passedOn := map[int]time.Duration{} // by node: time of the first such response
 		for _, r := range s.Runs() {
 			q, ok := o.byID[r.ID]
-			if !ok || !q.fromLeaving {
+			if !ok || !q.fromLeaving || !o.isLastRun(r) {
 				continue
 			}
 			if at, ok := passedOn[q.node]; !ok || q.ended < at {
@@ -313,6 +313,12 @@
 	return found
 }
 
+// isLastRun reports whether the response to the request, if it got one, is that of the run.
+// Earlier runs of it on other servers were cut off.
+func (o *observations) isLastRun(r backend.Run) bool {
+	return !slices.ContainsFunc(o.runs[r.ID], func(other backend.Run) bool { return other.At > r.At })
+}
+
 // wasInterrupted reports whether the node was started, stopped or paused in the interval
 // [from, to].
 func (o *observations) wasInterrupted(node int, from, to time.Duration) bool {
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -9,6 +10,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
+	"github.com/geraniumdock/geraniumdock/platform"
 )
 
 // TestMain runs the tests, or a variant of the program if variantEnv is set. The
@@ -85,6 +89,44 @@
 	is.Equal(found, []Finding{{"left-over", "process 7 did not exit"}})
 }
 
+// TestResponseCountsForTheServerThatRanARepeatFirst plays a server whose response is cut off,
+// and another one which runs the repeat and states that it leaves. Only the second must get
+// no more requests.
+func TestResponseCountsForTheServerThatRanARepeatFirst(t *testing.T) {
+	is := is.New(t)
+	cut, leaving := startServer(t, "cut"), startServer(t, "leaving")
+	run := func(s *backend.Server, id string) {
+		req, err := http.NewRequest(http.MethodGet, "http://"+s.Address()+"/", nil)
+		is.NoErr(err)
+		platform.SetRequestID(req.Header, id)
+		res, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		is.NoErr(res.Body.Close())
+		time.Sleep(2 * time.Millisecond) // runs are recorded in milliseconds
+	}
+	run(cut, "repeated")
+	run(leaving, "repeated")
+	run(cut, "to cut")
+	run(leaving, "to leaving")
+	late := drainBound + time.Second
+	found := check(&record{servers: []*backend.Server{cut, leaving}, requests: []*request{
+		{id: "repeated", target: "/", method: http.MethodGet, fromLeaving: true},
+		{id: "to cut", target: "/", method: http.MethodGet, sent: late},
+		{id: "to leaving", target: "/", method: http.MethodGet, sent: late},
+	}}, false)
+	is.Equal(found, []Finding{{"server-leave", "request to leaving reached leaving 3s after node 0 had passed on that it leaves"}})
+}
+
+func startServer(t *testing.T, instance string) *backend.Server {
+	t.Helper()
+	s := &backend.Server{Instance: instance, Slots: 1}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Crash)
+	return s
+}
+
 // TestWorkingVariantPasses runs planned events with the variant that violates no
 // guarantee. No check may report a finding.
 func TestWorkingVariantPasses(t *testing.T) {
