identity: the library chooses serial numbers

The certificate's serial number was drawn here from the system's random source. No decision depends on it, but crypto/x509 chooses one itself if none is given.

--- a/identity/identity.go
+++ b/identity/identity.go
@@ -12,7 +12,6 @@
 	"crypto/x509/pkix"
 	"encoding/hex"
 	"encoding/pem"
-	"math/big"
 	"os"
 	"time"
 
@@ -120,16 +119,11 @@
 }
 
 func template(name string) *x509.Certificate {
-	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
-	if err != nil {
-		panic(err) // no random numbers available
-	}
 	now := clock.System{}.Now().Std()
 	return &x509.Certificate{
-		SerialNumber: serial,
-		Subject:      pkix.Name{CommonName: name},
-		NotBefore:    now.Add(-time.Hour),
-		NotAfter:     now.Add(certificateValidity),
+		Subject:   pkix.Name{CommonName: name}, // CreateCertificate chooses the serial number
+		NotBefore: now.Add(-time.Hour),
+		NotAfter:  now.Add(certificateValidity),
 	}
 }
 
