--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,175 +2,25 @@
 
 import (
 	"bufio"
-	"bytes"
-	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
-	"go.uber.org/goleak"
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/demo"
 	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/node"
-	"github.com/geraniumdock/geraniumdock/server"
-	"github.com/geraniumdock/geraniumdock/table"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m, goleak.Cleanup(func(int) { http.DefaultClient.CloseIdleConnections() }))
-}
-
-// testFleet is a fleet of nodes with one backend server of service tags beside
-// each.
-type testFleet struct {
-	*demo.Fleet
-	t        *testing.T
-	ctx      context.Context
-	memory   *object.Memory
-	backends []*demo.Backend
-}
-
-// newTestFleet returns a fleet without nodes.
-func newTestFleet(t *testing.T) *testFleet {
-	t.Helper()
-	m := object.NewMemory()
-	log := hclog.New(&hclog.LoggerOptions{Name: "test", Level: hclog.LevelFromString(cmp.Or(os.Getenv("GD_LOG"), "off"))})
-	f, err := demo.NewFleet(m, log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
-	x := &testFleet{Fleet: f, t: t, ctx: ctx, memory: m}
-	t.Cleanup(func() {
-		m.SetFaults(object.Faults{})
-		for _, b := range x.backends {
-			b.Close()
-		}
-		for _, n := range x.Nodes {
-			n.Kill()
-		}
-		cancel()
-		http.DefaultClient.CloseIdleConnections()
-	})
-	return x
-}
-
-// startTestFleet starts count nodes in two data centres, each with a server, and
-// commits a table that lets caller app call service tags.
-func startTestFleet(t *testing.T, count int, prepare func(*demo.Backend), changes ...table.Change) *testFleet {
-	t.Helper()
-	x := newTestFleet(t)
-	for i := range count {
-		x.add(fmt.Sprint("n", i), []string{"dc-a", "dc-b"}[i%2], prepare)
-	}
-	x.edit("first", append([]table.Change{
-		demo.SetService("tags", "/"),
-		demo.SetCaller("app", "app-token"),
-		demo.Set("app", "tags", "weight", "1"),
-	}, changes...)...)
-	x.ok(x.AwaitServers(x.ctx, "tags", count))
-	return x
-}
-
-// ok fails the test on an error.
-func (x *testFleet) ok(err error) {
-	x.t.Helper()
-	if err != nil {
-		x.t.Fatal(err)
-	}
-}
-
-// add starts a node with a server.
-func (x *testFleet) add(name, dataCentre string, prepare func(*demo.Backend)) {
-	x.t.Helper()
-	n, err := x.Start(name, dataCentre)
-	x.ok(err)
-	x.serve(n, prepare)
-}
-
-// serve starts a server beside the node.
-func (x *testFleet) serve(n *node.Node, prepare func(*demo.Backend)) {
-	x.t.Helper()
-	b := &demo.Backend{Service: "tags", Slots: 6}
-	if prepare != nil {
-		prepare(b)
-	}
-	x.ok(b.Start(n.AnnounceAddress()))
-	x.backends = append(x.backends, b)
-}
-
-// edit commits changes of the table and waits until they are in force.
-func (x *testFleet) edit(id string, changes ...table.Change) uint64 {
-	x.t.Helper()
-	r, err := x.Edit(x.ctx, id, changes...)
-	x.ok(err)
-	x.ok(x.AwaitVersion(x.ctx, r.Version))
-	return r.Version
-}
-
-// await waits until ok returns true, or fails the test.
-func (x *testFleet) await(what string, ok func() bool) {
-	x.t.Helper()
-	x.ok(demo.Await(x.ctx, what, ok))
-}
-
-// result is the response, or the error, that a caller got.
-type result struct {
-	status  int
-	outcome string
-	kind    string
-	body    string
-	err     error
-}
-
-func (x *testFleet) do(n *node.Node, req *http.Request) result {
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return result{err: err}
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	return result{res.StatusCode, res.Header.Get("Geraniumdock-Outcome"), res.Header.Get("Geraniumdock-Error"), string(data), err}
-}
-
-// request returns a request of caller app to the node.
-func (x *testFleet) request(n *node.Node, method, id string, body io.Reader) *http.Request {
-	req, err := http.NewRequestWithContext(x.ctx, method, "http://"+n.CallsAddress()+"/"+id, body)
-	if err != nil {
-		panic(err)
-	}
-	req.Header.Set("Proxy-Authorization", "Bearer app-token")
-	req.Header.Set(demo.IDHeader, id)
-	return req
-}
-
-func (x *testFleet) call(n *node.Node, method, id string) result {
-	return x.do(n, x.request(n, method, id, nil))
-}
-
-// runs returns how often each id ran over all servers.
-func (x *testFleet) runs() map[string]int {
-	total := map[string]int{}
-	for _, b := range x.backends {
-		for id, n := range b.Runs() {
-			total[id] += n
-		}
-	}
-	return total
-}
-
 func TestEveryCallerGetsItsOwnResponse(t *testing.T) {
 	is := is.New(t)
 	x := startTestFleet(t, 4, func(b *demo.Backend) {
@@ -347,125 +197,6 @@
 	}
 }
 
-func TestDrainFinishesUploadWithoutNewCalls(t *testing.T) {
-	is := is.New(t)
-	x := startTestFleet(t, 3, nil)
-	body, feed := io.Pipe()
-	done := make(chan result, 1)
-	go func() {
-		req := x.request(x.Nodes[0], http.MethodPost, "upload", body)
-		done <- x.do(nil, req)
-	}()
-	chunk := bytes.Repeat([]byte("x"), 64<<10)
-	_, err := feed.Write(chunk)
-	is.NoErr(err)
-	x.await("the upload runs", func() bool { return x.runs()["upload"] == 1 })
-	busy := 0
-	for i, b := range x.backends {
-		if b.Runs()["upload"] == 1 {
-			busy = i
-		}
-	}
-	x.backends[busy].Drain(x.Nodes[busy].AnnounceAddress())
-	x.ok(x.AwaitServers(x.ctx, "tags", 2))
-	before := len(x.backends[busy].Runs())
-	for i := range 30 {
-		is.Equal(x.call(x.Nodes[i%3], http.MethodPost, fmt.Sprint("new", i)).status, http.StatusOK)
-	}
-	is.Equal(len(x.backends[busy].Runs()), before) // the draining server got no new calls
-	for range 20 {
-		_, err := feed.Write(chunk)
-		is.NoErr(err)
-	}
-	feed.Close()
-	r := <-done
-	is.NoErr(r.err)
-	is.Equal(r.body, "upload")
-}
-
-func TestCloseWaitsForCallsInFlight(t *testing.T) {
-	is := is.New(t)
-	release := make(chan struct{})
-	x := startTestFleet(t, 3, func(b *demo.Backend) {
-		b.Handle = func(w http.ResponseWriter, r *http.Request) {
-			<-release
-			fmt.Fprint(w, r.Header.Get(demo.IDHeader))
-		}
-	})
-	var all sync.WaitGroup
-	var bad atomic.Int32
-	for i := range 9 {
-		all.Go(func() {
-			if id := fmt.Sprint("slow", i); x.call(x.Nodes[i%3], http.MethodPost, id).body != id {
-				bad.Add(1)
-			}
-		})
-	}
-	x.await("all run", func() bool { return len(x.runs()) == 9 })
-	closed := make(chan struct{})
-	go func() {
-		x.Nodes[0].Close()
-		close(closed)
-	}()
-	x.await("others see it leave", func() bool { return x.Nodes[1].ServerCount("tags") == 2 })
-	select {
-	case <-closed:
-		t.Fatal("closed with calls in flight")
-	default:
-	}
-	close(release)
-	all.Wait()
-	<-closed
-	is.Equal(bad.Load(), int32(0))
-}
-
-// awaitGone waits until observer knows that the server beside the node with the given
-// name is gone. It fails the test if the server is recorded as lost instead.
-func (x *testFleet) awaitGone(observer *node.Node, name string) {
-	x.t.Helper()
-	x.await(name+" is gone", func() bool {
-		records, err := observer.Servers(x.ctx)
-		x.ok(err)
-		for _, r := range records {
-			if r.Node == name && r.State == server.Lost {
-				x.t.Fatalf("%s is recorded as lost, not as gone", name)
-			}
-			if r.Node == name && r.State == server.Gone {
-				return true
-			}
-		}
-		return false
-	})
-}
-
-// TestClosingNodesAnnounceDeparture closes a relay and an ordinary node without
-// calls in flight. The other nodes must learn that they are gone from a message,
-// not by a timeout.
-func TestClosingNodesAnnounceDeparture(t *testing.T) {
-	x := startTestFleet(t, 4, nil)
-	x.await("both relay seats of a data centre are taken", func() bool { return len(x.relays()) >= 3 })
-	for _, i := range []int{3, 0} {
-		x.Nodes[i].Close()
-		x.awaitGone(x.Nodes[1], x.Nodes[i].Name())
-	}
-}
-
-// TestNewRelayThatClosesIsTakenForLost closes a relay to which no node has opened a link.
-func TestNewRelayThatClosesIsTakenForLost(t *testing.T) {
-	x := startTestFleet(t, 1, nil)
-	x.await("the first node is a relay", func() bool { return len(x.relays()) == 1 })
-	time.Sleep(relayDiscoveryTime)
-	x.add("n1", "dc-b", nil)
-	x.await("the second node is a relay", func() bool { return len(x.relays()) == 2 })
-	x.ok(x.AwaitServers(x.ctx, "tags", 2))
-	x.Nodes[1].Close()
-	x.awaitGone(x.Nodes[0], "n1")
-}
-
-// relayDiscoveryTime is the time for which a new relay lists the other relays often. Later
-// it finds a new one, and opens a link to it, after some seconds only.
-const relayDiscoveryTime = 4 * time.Second
-
 func TestRepeatedKeyGetsFirstResponse(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int32
@@ -691,52 +422,6 @@
 	is.Equal(r.outcome, "not-run")
 }
 
-// TestRelayCrashWhileServerDrains crashes two relays when a server begins to
-// drain. The remaining nodes must still learn that it drains.
-func TestRelayCrashWhileServerDrains(t *testing.T) {
-	is := is.New(t)
-	x := startTestFleet(t, 6, nil)
-	x.await("at least three relays", func() bool { return len(x.relays()) >= 3 })
-	relays := x.relays()
-	draining := -1
-	for i, n := range x.Nodes {
-		if !n.IsRelay(x.ctx) {
-			draining = i
-		}
-	}
-	x.backends[draining].Drain(x.Nodes[draining].AnnounceAddress())
-	killed := map[*node.Node]bool{relays[0]: true, relays[1]: true}
-	for n := range killed {
-		n.Kill()
-	}
-	var rest []*node.Node
-	for _, n := range x.Nodes {
-		if !killed[n] {
-			rest = append(rest, n)
-		}
-	}
-	x.Nodes = rest
-	x.ok(x.AwaitServers(x.ctx, "tags", 3)) // 6 without the draining one and those of the 2 killed nodes
-	x.edit("after", demo.Set("app", "tags", "weight", "5"))
-	for i, n := range rest {
-		is.Equal(x.call(n, http.MethodPost, fmt.Sprint("x", i)).status, http.StatusOK)
-	}
-	for n := range killed {
-		n.Kill()
-	}
-}
-
-// relays returns the nodes that are relays.
-func (x *testFleet) relays() []*node.Node {
-	var relays []*node.Node
-	for _, n := range x.Nodes {
-		if n.IsRelay(x.ctx) {
-			relays = append(relays, n)
-		}
-	}
-	return relays
-}
-
 // forwarder forwards TCP connections. After it is silenced, it drops all data on
 // the connections open at that time but leaves both ends open; new connections
 // work.
