Revisions of the store name their era; logs and metrics of a restored store

New: store-restored, store-listed, policy-older, record-published, the revision in policy-in-force and in store-history-lost, gauges geraniumdock_store_era and geraniumdock_store_revision. The stand-in store names its era, and can return to a copy (Checkpoint, Rewind; keys checkpoint and rewind of its faults).

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -37,7 +37,7 @@
 	key      string // of the partition's object in the store
 	pending  []waiter
 	writing  bool // writeAll is running
-	revision uint64
+	revision gd.Revision
 	current  Partition
 	known    bool // current is the content of the object at revision
 }
@@ -185,7 +185,7 @@
 		return err
 	}
 	b.current, b.revision, b.known = Partition{}, o.Revision, true
-	if o.Revision == 0 {
+	if o.Revision.IsZero() {
 		return nil
 	}
 	b.current, err = Decode(o.Value)
--- a/geraniumdock.go
+++ b/geraniumdock.go
@@ -27,10 +27,10 @@
 }
 
 // Object is a value in the platform's store. Revision grows with each write of the key.
-// It is 0 for a key that was never written.
+// It is zero for a key that was never written.
 type Object struct {
 	Key      string
-	Revision uint64
+	Revision Revision
 	Value    []byte
 }
 
@@ -39,23 +39,23 @@
 type Store interface {
 	// Get returns the object at key.
 	Get(ctx context.Context, key string) (Object, error)
-	// Put writes value if the object's revision is still ifRevision, where 0
-	// means that the key must not exist.
-	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (Object, error)
+	// Put writes value if the object's revision is still ifRevision, where
+	// the zero value means that the key must not exist.
+	Put(ctx context.Context, key string, value []byte, ifRevision Revision) (Object, error)
 	// Delete removes the object if its revision is still ifRevision.
-	Delete(ctx context.Context, key string, ifRevision uint64) error
+	Delete(ctx context.Context, key string, ifRevision Revision) error
 	// List returns the objects whose keys begin with prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]Object, error)
 	// Watch waits until the object's revision is greater than after and returns the
 	// object. It returns an error of kind TimedOut if that does not happen within wait.
-	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Object, error)
+	Watch(ctx context.Context, key string, after Revision, wait time.Duration) (Object, error)
 }
 
 // Entry is a value in the platform's catalogue. Its Revision is that of the catalogue
 // after the last change of the entry.
 type Entry struct {
 	Name     string
-	Revision uint64
+	Revision Revision
 	Value    []byte
 	Deleted  bool
 }
@@ -67,16 +67,16 @@
 	// Get returns one entry.
 	Get(ctx context.Context, kind, name string) (Entry, error)
 	// List returns all entries of a kind and the catalogue's revision.
-	List(ctx context.Context, kind string) ([]Entry, uint64, error)
+	List(ctx context.Context, kind string) ([]Entry, Revision, error)
 	// ListStale is like List, but the entries may be seconds old. It costs less and
 	// does not count towards the rate of calls.
 	ListStale(ctx context.Context, kind string) ([]Entry, error)
 	// Watch waits until entries of the kind have changed since revision. It returns
 	// them with the revision to continue from.
-	Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) ([]Entry, uint64, error)
-	// Put writes an entry that is still at revision, where 0 means that the entry must
-	// not exist.
-	Put(ctx context.Context, kind, name string, value []byte, revision uint64) (Entry, error)
+	Watch(ctx context.Context, kind string, revision Revision, wait time.Duration) ([]Entry, Revision, error)
+	// Put writes an entry that is still at revision, where the zero value means that
+	// the entry must not exist.
+	Put(ctx context.Context, kind, name string, value []byte, revision Revision) (Entry, error)
 	// Delete removes an entry that is still at revision.
-	Delete(ctx context.Context, kind, name string, revision uint64) error
+	Delete(ctx context.Context, kind, name string, revision Revision) error
 }
--- a/internal/fleet/roster/delta_test.go
+++ b/internal/fleet/roster/delta_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/mutate"
@@ -113,7 +114,7 @@
 		changedAt: map[string]time.Duration{}, heardAt: map[string]time.Duration{},
 	}
 	late := Message{Node: "peer", Version: 6, Checksum: checksumOf([]byte(six)), Delta: delta([]byte(four), []byte(six))}
-	s.installPolicy([]byte(five), 1, "store")
+	s.installPolicy([]byte(five), gd.Revision{Number: 1}, "store")
 	s.receive(late)
 	is.Equal(s.version(), uint64(5))
 	is.Equal(string(s.raw), five)
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -50,7 +50,7 @@
 			}
 			continue
 		case gd.Expired.Is(err):
-			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", cursor.revision)
+			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", gd.Later(cursor.revision, r.policyRevision()).String())
 			cursor.listed = false
 			continue
 		case !cursor.failed:
@@ -65,7 +65,7 @@
 // policyCursor is the position of followPolicy in the changes of the catalogue.
 type policyCursor struct {
 	listed   bool // the entries have been listed; only changes since revision are read
-	revision uint64
+	revision gd.Revision
 	failed   bool // the last call failed
 }
 
@@ -74,7 +74,7 @@
 func (r *Roster) pollPolicy(ctx context.Context, cursor *policyCursor) error {
 	var entries []gd.Entry
 	var err error
-	revision := max(cursor.revision, r.revision.Load())
+	revision := gd.Later(cursor.revision, r.policyRevision())
 	if cursor.listed {
 		wait := pollWait
 		if r.isWatcher() && !cursor.failed {
@@ -87,6 +87,10 @@
 	if err != nil {
 		return err
 	}
+	r.noteEra(revision.Era)
+	if !cursor.listed {
+		r.cfg.Log.Info(event.StoreListed, "kind", r.cfg.PolicyKind, "revision", revision.String(), "in-force", r.policyRevision().String())
+	}
 	if cursor.failed {
 		r.cfg.Log.Info(event.StoreRegained, "kind", r.cfg.PolicyKind)
 		r.wakeLister() // server entries may have expired in the meantime
@@ -152,7 +156,7 @@
 	}
 }
 
-func (r *Roster) list(ctx context.Context, kind string) ([]gd.Entry, uint64, error) {
+func (r *Roster) list(ctx context.Context, kind string) ([]gd.Entry, gd.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return r.cfg.Catalogue.List(ctx, kind)
@@ -162,7 +166,10 @@
 // seconds old.
 func (r *Roster) listServers(ctx context.Context, isStale bool) ([]gd.Entry, error) {
 	if !isStale {
-		entries, _, err := r.list(ctx, r.cfg.ServerKind)
+		entries, revision, err := r.list(ctx, r.cfg.ServerKind)
+		if err == nil {
+			r.noteEra(revision.Era)
+		}
 		return entries, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -170,7 +177,7 @@
 	return r.cfg.Catalogue.ListStale(ctx, r.cfg.ServerKind)
 }
 
-func (r *Roster) watch(ctx context.Context, kind string, revision uint64, wait time.Duration) ([]gd.Entry, uint64, error) {
+func (r *Roster) watch(ctx context.Context, kind string, revision gd.Revision, wait time.Duration) ([]gd.Entry, gd.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	return r.cfg.Catalogue.Watch(ctx, kind, revision, wait)
@@ -218,7 +225,7 @@
 				r.cfg.Log.Warn(event.RecordRefused, "entry", e.Name, "revision", e.Revision, "error", gd.Message(err))
 				continue
 			}
-			if rec.Node == r.cfg.Self.Node && e.Revision >= s.revision {
+			if rec.Node == r.cfg.Self.Node && !s.revision.After(e.Revision) {
 				s.stored, s.revision = rec, e.Revision
 			}
 			if old, ok := s.forgotten[rec.Node]; isStale && ok && rec.Compare(old) <= 0 {
@@ -251,7 +258,7 @@
 			continue
 		}
 		if rec.Node == s.r.cfg.Self.Node {
-			s.revision = 0
+			s.revision = gd.Revision{}
 			continue
 		}
 		if _, ok := s.missingSince[rec.Node]; !ok {
@@ -329,7 +336,7 @@
 // reads the entry again.
 func (r *Roster) publishOnce(ctx context.Context) error {
 	var own, stored server.Record
-	var revision uint64
+	var revision gd.Revision
 	var wanted, left, keepsEntry bool
 	done := make(chan struct{})
 	r.post(ctx, func(s *state) {
@@ -341,7 +348,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	if !wanted || keepsEntry || left && revision == 0 || !left && revision > 0 && own == stored {
+	if !wanted || keepsEntry || left && revision.IsZero() || !left && !revision.IsZero() && own == stored {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -357,11 +364,14 @@
 	if err != nil {
 		return r.reloadOwnEntry(ctx, own.Node, err)
 	}
+	r.cfg.Log.Info(event.RecordPublished, "incarnation", own.Incarnation, "sequence", own.Sequence, "state", own.State.String(),
+		"before", revision.String(), "revision", e.Revision.String())
+	r.noteEra(e.Revision.Era)
 	r.post(ctx, func(s *state) {
 		s.stored, s.revision = own, e.Revision
 		s.changedAt[own.Node] = r.cfg.Clock.Monotonic()
 	})
-	if revision == 0 {
+	if revision.IsZero() {
 		// Of two nodes that start at the same time, the one that writes its
 		// entry last finds the other in the list.
 		r.wakeLister()
@@ -370,12 +380,12 @@
 }
 
 // unpublish deletes this node's entry from the catalogue.
-func (r *Roster) unpublish(ctx context.Context, node string, revision uint64) error {
+func (r *Roster) unpublish(ctx context.Context, node string, revision gd.Revision) error {
 	err := r.cfg.Catalogue.Delete(ctx, r.cfg.ServerKind, node, revision)
 	if err != nil && !gd.NotFound.Is(err) {
 		return r.reloadOwnEntry(ctx, node, err)
 	}
-	r.post(ctx, func(s *state) { s.revision = 0 })
+	r.post(ctx, func(s *state) { s.revision = gd.Revision{} })
 	return nil
 }
 
@@ -385,7 +395,7 @@
 	e, err := r.cfg.Catalogue.Get(ctx, r.cfg.ServerKind, node)
 	switch {
 	case gd.NotFound.Is(err):
-		r.post(ctx, func(s *state) { s.revision = 0 })
+		r.post(ctx, func(s *state) { s.revision = gd.Revision{} })
 	case err == nil:
 		stored, _ := decodeRecord(e) // a record that cannot be decoded is overwritten
 		r.post(ctx, func(s *state) { s.stored, s.revision = stored, e.Revision })
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -200,7 +200,7 @@
 		s.r.cfg.Log.Warn(event.PolicyRefused, "source", "node "+m.Node, "error", gd.Message(err), "in-force", s.version())
 		return
 	}
-	s.installPolicy(raw, m.Revision, "node "+m.Node)
+	s.installPolicy(raw, gd.Revision{Number: m.Revision}, "node "+m.Node)
 	if s.version() == m.Version && m.Policy != nil {
 		s.compressed, s.compressedVersion = m.Policy, m.Version
 	}
@@ -231,7 +231,7 @@
 func (s *state) updateFor(m Message) Message {
 	update := s.summary()
 	if s.raw != nil && m.Version < s.version() {
-		update.Revision = s.r.revision.Load()
+		update.Revision = s.r.policyRevision().Number
 		if m.Version == s.previous.version && m.Checksum == s.previous.checksum && m.Checksum != 0 {
 			update.Delta = s.deltaFromPrevious()
 		} else {
--- a/internal/fleet/roster/gossip_test.go
+++ b/internal/fleet/roster/gossip_test.go
@@ -42,15 +42,15 @@
 	entry chan gd.Entry
 }
 
-func (c policyCatalogue) List(ctx context.Context, kind string) ([]gd.Entry, uint64, error) {
+func (c policyCatalogue) List(ctx context.Context, kind string) ([]gd.Entry, gd.Revision, error) {
 	if kind != "config" {
-		return nil, 0, errUnavailable
+		return nil, gd.Revision{}, errUnavailable
 	}
 	select {
 	case e := <-c.entry:
 		return []gd.Entry{e}, e.Revision, nil
 	case <-ctx.Done():
-		return nil, 0, errUnavailable
+		return nil, gd.Revision{}, errUnavailable
 	}
 }
 
@@ -114,7 +114,7 @@
 	m := newMemoryNetwork()
 	catalogue := policyCatalogue{entry: make(chan gd.Entry)}
 	list, stop := m.start(60, catalogue)
-	catalogue.entry <- gd.Entry{Name: "main", Revision: 1, Value: []byte("3")}
+	catalogue.entry <- gd.Entry{Name: "main", Revision: gd.Revision{Number: 1}, Value: []byte("3")}
 	waitFor(t, func() bool { return haveVersion(list, 3) })
 	stop()
 	// Some nodes that were not notified fetch it by gossip.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -72,7 +72,6 @@
 	changes   chan func(*state)
 	publish   chan struct{} // wakes publishLoop
 	relist    chan struct{} // wakes followServers
-	revision  atomic.Uint64 // of the entry with the policy in force
 	started   chan struct{} // closed when the first policy is in force
 	tasks     sync.WaitGroup
 	pushSlots chan struct{} // semaphore for pushes in flight
@@ -81,6 +80,8 @@
 	random       *rand.Rand
 	latest       server.Record // record announced last
 	latestNumber uint64        // number of records announced
+	revision     gd.Revision   // of the entry with the policy in force
+	era          uint64        // of the catalogue, latest one seen
 }
 
 // state is the mutable state of a Roster. Only the control goroutine, which runs
@@ -99,7 +100,7 @@
 	hasOwn       bool                     // own is set
 	adopted      server.Record            // record of an earlier process of this node, passed to OnAdoption
 	stored       server.Record            // record in this node's catalogue entry
-	revision     uint64                   // of this node's catalogue entry, 0 if there is none
+	revision     gd.Revision              // of this node's catalogue entry, zero if there is none
 	changedAt    map[string]time.Duration // by node: when its record was last replaced
 	missingSince map[string]time.Duration // by node: since when the catalogue has no entry for it
 	heardAt      map[string]time.Duration // by node: when its last message arrived
@@ -211,21 +212,24 @@
 // installPolicy decodes a policy and brings it into force if its version is higher
 // than the current one. It notifies some random nodes of the version, which then
 // fetch the policy.
-func (s *state) installPolicy(raw []byte, revision uint64, source string) {
+func (s *state) installPolicy(raw []byte, revision gd.Revision, source string) {
 	p, err := s.r.cfg.Decode(raw)
 	if err != nil {
 		s.r.cfg.Log.Error(event.PolicyRefused, "source", source, "error", gd.Message(err), "in-force", s.version())
 		return
 	}
 	if s.policy != nil && p.Version <= s.policy.Version {
+		if p.Version < s.policy.Version {
+			s.r.cfg.Log.Info(event.PolicyOlder, "version", p.Version, "in-force", s.version(), "source", source, "revision", revision.String())
+		}
 		return
 	}
-	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source)
+	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source, "revision", revision.String())
 	first := s.policy == nil
 	s.previous = previousPolicy{version: s.version(), checksum: s.checksum, raw: s.raw}
 	s.policy, s.raw, s.checksum = p, raw, checksumOf(raw)
 	s.policySince = s.r.cfg.Clock.Monotonic()
-	s.r.revision.Store(max(revision, s.r.revision.Load()))
+	s.r.noteRevision(revision)
 	s.publishSnapshot()
 	if first {
 		close(s.r.started)
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -30,19 +30,19 @@
 func (unavailable) Get(context.Context, string, string) (gd.Entry, error) {
 	return gd.Entry{}, errUnavailable
 }
-func (unavailable) List(context.Context, string) ([]gd.Entry, uint64, error) {
-	return nil, 0, errUnavailable
+func (unavailable) List(context.Context, string) ([]gd.Entry, gd.Revision, error) {
+	return nil, gd.Revision{}, errUnavailable
 }
 func (unavailable) ListStale(context.Context, string) ([]gd.Entry, error) {
 	return nil, errUnavailable
 }
-func (unavailable) Watch(context.Context, string, uint64, time.Duration) ([]gd.Entry, uint64, error) {
-	return nil, 0, errUnavailable
+func (unavailable) Watch(context.Context, string, gd.Revision, time.Duration) ([]gd.Entry, gd.Revision, error) {
+	return nil, gd.Revision{}, errUnavailable
 }
-func (unavailable) Put(context.Context, string, string, []byte, uint64) (gd.Entry, error) {
+func (unavailable) Put(context.Context, string, string, []byte, gd.Revision) (gd.Entry, error) {
 	return gd.Entry{}, errUnavailable
 }
-func (unavailable) Delete(context.Context, string, string, uint64) error { return errUnavailable }
+func (unavailable) Delete(context.Context, string, string, gd.Revision) error { return errUnavailable }
 
 // hangingExchanger is an Exchanger whose peers never reply.
 type hangingExchanger struct {
@@ -382,7 +382,7 @@
 	entry := func(rec server.Record) gd.Entry {
 		value, err := json.Marshal(rec)
 		is.NoErr(err)
-		return gd.Entry{Name: rec.Node, Value: value, Revision: 1}
+		return gd.Entry{Name: rec.Node, Value: value, Revision: gd.Revision{Number: 1}}
 	}
 	s.r.mergeEntries([]gd.Entry{entry(gone)}, true)(s)
 	is.Equal(s.directory.Len(), 0)
--- a/internal/standin/catalogue/catalogue.go
+++ b/internal/standin/catalogue/catalogue.go
@@ -58,7 +58,8 @@
 	kinds             map[string]map[string]Entry
 	history           []change
 	compactedRevision uint64 // changes up to this revision have been compacted
-	revision          uint64
+	revision          gd.Revision
+	checkpoint        *checkpoint // nil before Checkpoint
 	faults            Faults
 	changed           chan struct{} // closed and replaced on each change
 	reads             tokenBucket
@@ -77,7 +78,7 @@
 // second; 0 means no limit. The seed determines which writes a fault affects.
 func New(readsPerSecond, writesPerSecond float64, seed uint64) *Catalogue {
 	return &Catalogue{
-		kinds: map[string]map[string]Entry{}, changed: make(chan struct{}), revision: 1,
+		kinds: map[string]map[string]Entry{}, changed: make(chan struct{}), revision: gd.Revision{Era: 1, Number: 1},
 		reads: tokenBucket{perSecond: readsPerSecond}, writes: tokenBucket{perSecond: writesPerSecond},
 		rng: rand.New(rand.NewPCG(seed, 0)),
 	}
@@ -96,7 +97,7 @@
 func (c *Catalogue) Compact() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.history, c.compactedRevision = nil, c.revision
+	c.history, c.compactedRevision = nil, c.revision.Number
 	c.notifyWatches()
 }
 
@@ -170,7 +171,13 @@
 	if !ok {
 		return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
 	}
-	return e, nil
+	return c.inEra(e), nil
+}
+
+// inEra returns e as a response of the current era states it.
+func (c *Catalogue) inEra(e Entry) Entry {
+	e.Revision.Era = c.revision.Era
+	return e
 }
 
 // pageSize is the maximum number of entries that List returns.
@@ -178,16 +185,16 @@
 
 // List returns the first page of the entries of a kind whose names sort after
 // the given name, and whether there are more.
-func (c *Catalogue) List(ctx context.Context, caller, kind, after string) (page []Entry, more bool, revision uint64, err error) {
+func (c *Catalogue) List(ctx context.Context, caller, kind, after string) (page []Entry, more bool, revision gd.Revision, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.Reads++
 	if err := c.admit(ctx, caller, &c.reads, clock.Deadline(0)); err != nil {
-		return nil, false, 0, err
+		return nil, false, gd.Revision{}, err
 	}
 	for name, e := range c.kinds[kind] {
 		if name > after {
-			page = append(page, e)
+			page = append(page, c.inEra(e))
 		}
 	}
 	slices.SortFunc(page, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
@@ -199,22 +206,26 @@
 
 // Watch returns the changes of a kind after revision. It blocks until there is
 // one and returns none if wait has passed first.
-func (c *Catalogue) Watch(ctx context.Context, caller, kind string, revision uint64, wait time.Duration) ([]Entry, uint64, error) {
+func (c *Catalogue) Watch(ctx context.Context, caller, kind string, revision uint64, wait time.Duration) ([]Entry, gd.Revision, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.Watches++
 	if err := c.admit(ctx, caller, &c.reads, clock.Deadline(0)); err != nil {
-		return nil, 0, err
+		return nil, gd.Revision{}, err
 	}
+	era := c.revision.Era
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
 		if err := c.outageError(caller); err != nil {
-			return nil, 0, err
+			return nil, gd.Revision{}, err
+		}
+		if c.revision.Era != era {
+			return nil, gd.Revision{}, ErrReset
 		}
 		if !c.faults.MuteWatches {
-			if revision < c.compactedRevision {
-				return nil, 0, gd.Expired.Errorf("changes after revision %d were compacted", revision)
+			if revision < c.compactedRevision || revision > c.revision.Number {
+				return nil, gd.Revision{}, gd.Expired.Errorf("no history from revision %d", revision)
 			}
 			if list := c.changesSince(kind, revision); len(list) > 0 {
 				return list, c.revision, nil
@@ -232,7 +243,7 @@
 		}
 		c.mu.Lock()
 		if done {
-			return nil, max(revision, c.compactedRevision), nil
+			return nil, gd.Revision{Era: c.revision.Era, Number: max(revision, c.compactedRevision)}, nil
 		}
 	}
 }
@@ -240,8 +251,8 @@
 func (c *Catalogue) changesSince(kind string, revision uint64) []Entry {
 	var list []Entry
 	for _, ch := range c.history {
-		if ch.kind == kind && ch.entry.Revision > revision {
-			list = append(list, ch.entry)
+		if ch.kind == kind && ch.entry.Revision.Number > revision {
+			list = append(list, c.inEra(ch.entry))
 		}
 	}
 	return list
@@ -254,8 +265,8 @@
 	return c.write(ctx, caller, func() (Entry, error) {
 		old, exists := c.kinds[kind][name]
 		switch {
-		case !anyRevision && revision == 0 && exists, !anyRevision && revision != 0 && exists && old.Revision != revision:
-			return old, gd.Conflict.Errorf("entry %s/%s is at revision %d", kind, name, old.Revision)
+		case !anyRevision && revision == 0 && exists, !anyRevision && revision != 0 && exists && old.Revision.Number != revision:
+			return old, gd.Conflict.Errorf("entry %s/%s is at revision %s", kind, name, old.Revision)
 		case revision != 0 && !exists:
 			return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
 		case exists && bytes.Equal(old.Value, value) && slices.Equal(old.Finalizers, finalizers):
@@ -275,8 +286,8 @@
 		switch {
 		case !ok:
 			return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
-		case revision != 0 && e.Revision != revision:
-			return e, gd.Conflict.Errorf("entry %s/%s is at revision %d", kind, name, e.Revision)
+		case revision != 0 && e.Revision.Number != revision:
+			return e, gd.Conflict.Errorf("entry %s/%s is at revision %s", kind, name, e.Revision)
 		case bytes.Equal(e.Status, status):
 			return e, nil
 		}
@@ -293,8 +304,8 @@
 		switch {
 		case !ok:
 			return Entry{}, gd.NotFound.Errorf("no entry %s/%s", kind, name)
-		case revision != 0 && e.Revision != revision:
-			return e, gd.Conflict.Errorf("entry %s/%s is at revision %d", kind, name, e.Revision)
+		case revision != 0 && e.Revision.Number != revision:
+			return e, gd.Conflict.Errorf("entry %s/%s is at revision %s", kind, name, e.Revision)
 		}
 		e.Deleting = true
 		return c.store(kind, e), nil
@@ -310,7 +321,8 @@
 		return Entry{}, err
 	}
 	if c.faults.LostWriteRatio == 0 || c.rng.Float64() >= c.faults.LostWriteRatio {
-		return do()
+		e, err := do()
+		return c.inEra(e), err
 	}
 	if c.faults.LostWriteDelay == 0 {
 		_, _ = do() // the caller gets no response, whether or not the write succeeds
@@ -329,7 +341,7 @@
 // store stores e at the next revision and notifies the watches. The caller
 // holds c.mu.
 func (c *Catalogue) store(kind string, e Entry) Entry {
-	c.revision++
+	c.revision.Number++
 	e.Revision = c.revision
 	if c.kinds[kind] == nil {
 		c.kinds[kind] = map[string]Entry{}
--- a/internal/standin/catalogue/control.go
+++ b/internal/standin/catalogue/control.go
@@ -24,6 +24,8 @@
 	LateMS      int64    `json:"late-ms"`     // delay until such a write is applied
 	MuteWatches bool     `json:"mute"`        // watches receive no events
 	Forget      bool     `json:"forget"`      // compacts the history once
+	Checkpoint  bool     `json:"checkpoint"`  // copies all entries once
+	Rewind      bool     `json:"rewind"`      // returns to the last copy once
 }
 
 var outages = map[string]Outage{"": NoOutage, "silent": Silent, "busy": Busy, "many": TooMany, "reset": Reset}
@@ -63,12 +65,18 @@
 	if f.Forget {
 		c.Compact()
 	}
+	if f.Checkpoint {
+		c.Checkpoint()
+	}
+	if f.Rewind {
+		c.Rewind()
+	}
 	return nil
 }
 
 // snapshot is the stored form of a catalogue.
 type snapshot struct {
-	Revision uint64             `json:"revision"`
+	Revision gd.Revision        `json:"revision"`
 	Kinds    map[string][]Entry `json:"kinds"`
 }
 
@@ -96,7 +104,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision, c.compactedRevision = max(s.Revision, c.revision), s.Revision
+	c.revision, c.compactedRevision = gd.Later(s.Revision, c.revision), s.Revision.Number
 	for kind, entries := range s.Kinds {
 		c.kinds[kind] = map[string]Entry{}
 		for _, e := range entries {
--- a/internal/standin/catalogue/control_test.go
+++ b/internal/standin/catalogue/control_test.go
@@ -55,7 +55,7 @@
 	is.Equal(got.Revision, e.Revision)
 	next, err := restored.Put(ctx, "caller", "kind", "other", []byte(`"w"`), nil, 0, false)
 	is.NoErr(err)
-	is.True(next.Revision > e.Revision)
+	is.True(next.Revision.After(e.Revision))
 	_, _, err = restored.Watch(ctx, "caller", "kind", 1, 0)
 	is.True(gd.Expired.Is(err)) // the history was not saved
 	is.True(restored.Restore(strings.NewReader("{")) != nil)
--- a/internal/store/object/catalogue.go
+++ b/internal/store/object/catalogue.go
@@ -57,7 +57,7 @@
 }
 
 // Put writes value if the revision of key is still ifRevision.
-func (s *CatalogueStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (gd.Object, error) {
+func (s *CatalogueStore) Put(ctx context.Context, key string, value []byte, ifRevision gd.Revision) (gd.Object, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return gd.Object{}, gd.Internal.Wrapf(err, "encode object %s", key)
@@ -74,7 +74,7 @@
 }
 
 // Delete removes the object at key if its revision is still ifRevision.
-func (s *CatalogueStore) Delete(ctx context.Context, key string, ifRevision uint64) error {
+func (s *CatalogueStore) Delete(ctx context.Context, key string, ifRevision gd.Revision) error {
 	kind, name := entryFor(key)
 	return s.catalogue.Delete(ctx, kind, name, ifRevision)
 }
@@ -104,14 +104,14 @@
 }
 
 // Watch waits until the revision of key is greater than after.
-func (s *CatalogueStore) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (gd.Object, error) {
+func (s *CatalogueStore) Watch(ctx context.Context, key string, after gd.Revision, wait time.Duration) (gd.Object, error) {
 	kind, name := entryFor(key)
 	end := clock.Deadline(wait)
 	o, err := s.Get(ctx, key)
-	if err == nil && o.Revision > after || err != nil && !gd.NotFound.Is(err) {
+	if err == nil && o.Revision.After(after) || err != nil && !gd.NotFound.Is(err) {
 		return o, err
 	}
-	for from := max(after, o.Revision); ; {
+	for from := gd.Later(after, o.Revision); ; {
 		left := -clock.Since(end)
 		if left <= 0 {
 			return gd.Object{}, gd.TimedOut.Errorf("no change of %s", key)
@@ -124,7 +124,7 @@
 			return gd.Object{}, err
 		}
 		for _, e := range entries {
-			if e.Name == name && !e.Deleted && e.Revision > after {
+			if e.Name == name && !e.Deleted && e.Revision.After(after) {
 				return decodeObject(key, e)
 			}
 		}
--- a/internal/store/object/client.go
+++ b/internal/store/object/client.go
@@ -64,7 +64,7 @@
 }
 
 // Put writes the object in a single attempt.
-func (c *Client) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (gd.Object, error) {
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifRevision gd.Revision) (gd.Object, error) {
 	if err := c.takeToken(); err != nil {
 		return gd.Object{}, err
 	}
@@ -74,7 +74,7 @@
 }
 
 // Delete removes the object in a single attempt.
-func (c *Client) Delete(ctx context.Context, key string, ifRevision uint64) error {
+func (c *Client) Delete(ctx context.Context, key string, ifRevision gd.Revision) error {
 	if err := c.takeToken(); err != nil {
 		return err
 	}
@@ -84,7 +84,7 @@
 }
 
 // Watch waits for a change of the object in a single attempt.
-func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (gd.Object, error) {
+func (c *Client) Watch(ctx context.Context, key string, after gd.Revision, wait time.Duration) (gd.Object, error) {
 	if err := c.takeToken(); err != nil {
 		return gd.Object{}, err
 	}
--- a/internal/store/object/memory.go
+++ b/internal/store/object/memory.go
@@ -35,7 +35,7 @@
 
 	mu           sync.Mutex
 	objects      map[string]gd.Object
-	lastRevision uint64 // shared by all keys, so that a key's revision also grows when it is written again after a deletion
+	lastRevision gd.Revision // shared by all keys, so that a key's revision also grows when it is written again after a deletion
 	faults       Faults
 	changed      chan struct{} // closed and replaced at each change
 }
@@ -74,7 +74,7 @@
 }
 
 // Put writes value if the revision of key is still ifRevision.
-func (m *Memory) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (gd.Object, error) {
+func (m *Memory) Put(ctx context.Context, key string, value []byte, ifRevision gd.Revision) (gd.Object, error) {
 	m.writes.Add(1)
 	if err := m.injectFaults(ctx); err != nil {
 		return gd.Object{}, err
@@ -85,9 +85,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[key].Revision != ifRevision {
-		return gd.Object{}, gd.Conflict.Errorf("object %s is at revision %d, not %d", key, m.objects[key].Revision, ifRevision)
+		return gd.Object{}, gd.Conflict.Errorf("object %s is at revision %s, not %s", key, m.objects[key].Revision, ifRevision)
 	}
-	m.lastRevision++
+	m.lastRevision.Number++
 	o := gd.Object{Key: key, Revision: m.lastRevision, Value: append([]byte(nil), value...)}
 	m.objects[key] = o
 	m.notifyWatches()
@@ -95,7 +95,7 @@
 }
 
 // Delete removes the object at key if its revision is still ifRevision.
-func (m *Memory) Delete(ctx context.Context, key string, ifRevision uint64) error {
+func (m *Memory) Delete(ctx context.Context, key string, ifRevision gd.Revision) error {
 	m.writes.Add(1)
 	if err := m.injectFaults(ctx); err != nil {
 		return err
@@ -107,7 +107,7 @@
 		return gd.NotFound.Errorf("no object %s", key)
 	}
 	if o.Revision != ifRevision {
-		return gd.Conflict.Errorf("object %s is at revision %d, not %d", key, o.Revision, ifRevision)
+		return gd.Conflict.Errorf("object %s is at revision %s, not %s", key, o.Revision, ifRevision)
 	}
 	delete(m.objects, key)
 	m.notifyWatches()
@@ -133,7 +133,7 @@
 }
 
 // Watch waits until the revision of key is greater than after.
-func (m *Memory) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (gd.Object, error) {
+func (m *Memory) Watch(ctx context.Context, key string, after gd.Revision, wait time.Duration) (gd.Object, error) {
 	m.watches.Add(1)
 	if err := m.injectFaults(ctx); err != nil {
 		return gd.Object{}, err
@@ -142,7 +142,7 @@
 	defer end.Stop()
 	for {
 		o, changed, err := m.checkWatch(key, after)
-		if err != nil || o.Revision > 0 {
+		if err != nil || !o.Revision.IsZero() {
 			return o, err
 		}
 		select {
@@ -157,14 +157,14 @@
 
 // checkWatch returns the object if a watch should return it now. Otherwise it returns
 // a channel that is closed at the next change.
-func (m *Memory) checkWatch(key string, after uint64) (gd.Object, <-chan struct{}, error) {
+func (m *Memory) checkWatch(key string, after gd.Revision) (gd.Object, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.faults.Outage {
 		return gd.Object{}, nil, gd.Unavailable.Errorf("platform outage")
 	}
 	o, ok := m.objects[key]
-	if ok && !m.faults.StallWatches && (o.Revision > after || m.faults.RepeatWatch) {
+	if ok && !m.faults.StallWatches && (o.Revision.After(after) || m.faults.RepeatWatch) {
 		return o, nil, nil
 	}
 	return gd.Object{}, m.changed, nil
--- a/internal/store/object/platform_test.go
+++ b/internal/store/object/platform_test.go
@@ -43,13 +43,13 @@
 			key := name + "/a b/ü?"
 			_, err := s.Get(ctx, key)
 			is.True(gd.NotFound.Is(err))
-			one, err := s.Put(ctx, key, []byte("1"), 0)
+			one, err := s.Put(ctx, key, []byte("1"), gd.Revision{})
 			is.NoErr(err)
-			_, err = s.Put(ctx, key, []byte("2"), 0)
+			_, err = s.Put(ctx, key, []byte("2"), gd.Revision{})
 			is.True(gd.Conflict.Is(err)) // the key exists
 			two, err := s.Put(ctx, key, []byte("2"), one.Revision)
 			is.NoErr(err)
-			is.True(two.Revision > one.Revision)
+			is.True(two.Revision.After(one.Revision))
 			_, err = s.Put(ctx, key, []byte("3"), one.Revision)
 			is.True(gd.Conflict.Is(err)) // another write came first
 			o, err := s.Get(ctx, key)
@@ -65,10 +65,10 @@
 			is.Equal(o.Revision, two.Revision)
 			is.True(gd.Conflict.Is(s.Delete(ctx, key, one.Revision)))
 			is.NoErr(s.Delete(ctx, key, two.Revision))
-			again, err := s.Put(ctx, key, []byte("4"), 0)
+			again, err := s.Put(ctx, key, []byte("4"), gd.Revision{})
 			is.NoErr(err)
-			is.True(again.Revision > two.Revision) // revisions grow even across a deletion
-			_, err = s.Put(ctx, "big", make([]byte, gd.MaxObjectBytes+1), 0)
+			is.True(again.Revision.After(two.Revision)) // revisions grow even across a deletion
+			_, err = s.Put(ctx, "big", make([]byte, gd.MaxObjectBytes+1), gd.Revision{})
 			is.True(gd.TooLarge.Is(err))
 		})
 	}
@@ -81,10 +81,10 @@
 			ctx := context.Background()
 			got := make(chan gd.Object, 1)
 			go func() {
-				o, _ := s.Watch(ctx, name, 0, time.Minute)
+				o, _ := s.Watch(ctx, name, gd.Revision{}, time.Minute)
 				got <- o
 			}()
-			_, err := s.Put(ctx, name, []byte("x"), 0)
+			_, err := s.Put(ctx, name, []byte("x"), gd.Revision{})
 			is.NoErr(err)
 			is.Equal(string((<-got).Value), "x")
 		})
@@ -96,12 +96,12 @@
 	ctx := context.Background()
 	m := NewMemory()
 	m.SetFaults(Faults{LostResponses: 1})
-	_, err := m.Put(ctx, "k", []byte("x"), 0)
+	_, err := m.Put(ctx, "k", []byte("x"), gd.Revision{})
 	is.True(gd.Unavailable.Is(err))
 	o, err := m.Get(ctx, "k")
 	is.NoErr(err) // the write took effect
 	m.SetFaults(Faults{StallWatches: true})
-	_, err = m.Watch(ctx, "k", 0, time.Millisecond)
+	_, err = m.Watch(ctx, "k", gd.Revision{}, time.Millisecond)
 	is.True(gd.TimedOut.Is(err))
 	m.SetFaults(Faults{RepeatWatch: true})
 	again, err := m.Watch(ctx, "k", o.Revision, time.Minute)
@@ -126,7 +126,7 @@
 	c.SetFaults(catalogue.Faults{LostWriteRatio: 1})
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
-	_, err := s.Put(short, "table/k", []byte("x"), 0)
+	_, err := s.Put(short, "table/k", []byte("x"), gd.Revision{})
 	is.True(gd.Unavailable.Is(err))
 	c.SetFaults(catalogue.Faults{})
 	o, err := s.Get(ctx, "table/k")
@@ -151,9 +151,9 @@
 	is := is.New(t)
 	ctx := context.Background()
 	c, s := newCatalogueStore(t)
-	o, err := s.Put(ctx, "table/head", []byte("1"), 0)
+	o, err := s.Put(ctx, "table/head", []byte("1"), gd.Revision{})
 	is.NoErr(err)
-	_, err = s.Put(ctx, "table/other", []byte("1"), 0)
+	other, err := s.Put(ctx, "table/other", []byte("1"), gd.Revision{})
 	is.NoErr(err)
 	c.Compact()
 	got := make(chan gd.Object, 1)
@@ -161,7 +161,7 @@
 		changed, _ := s.Watch(ctx, "table/head", o.Revision, time.Minute)
 		got <- changed
 	}()
-	_, err = s.Put(ctx, "table/other", []byte("2"), o.Revision+1)
+	_, err = s.Put(ctx, "table/other", []byte("2"), other.Revision)
 	is.NoErr(err)
 	_, err = s.Put(ctx, "table/head", []byte("2"), o.Revision)
 	is.NoErr(err)
@@ -174,7 +174,7 @@
 	ctx := context.Background()
 	_, s := newCatalogueStore(t)
 	for _, key := range []string{"relay/b/1", "relay/a/0", "relay/a/1", "limits/a/1"} {
-		_, err := s.Put(ctx, key, []byte(key), 0)
+		_, err := s.Put(ctx, key, []byte(key), gd.Revision{})
 		is.NoErr(err)
 	}
 	list, err := s.List(ctx, "relay/a/")
@@ -211,7 +211,7 @@
 	return f.Store.Get(ctx, key)
 }
 
-func (f *failingStore) Put(ctx context.Context, key string, value []byte, rev uint64) (gd.Object, error) {
+func (f *failingStore) Put(ctx context.Context, key string, value []byte, rev gd.Revision) (gd.Object, error) {
 	if err := f.fail(); err != nil {
 		return gd.Object{}, err
 	}
@@ -227,7 +227,7 @@
 	is.True(gd.NotFound.Is(err))
 	is.Equal(f.calls, 3)
 	f.failures, f.calls = 1, 0
-	_, err = c.Put(ctx, "k", nil, 0)
+	_, err = c.Put(ctx, "k", nil, gd.Revision{})
 	is.True(gd.Unavailable.Is(err))
 	is.Equal(f.calls, 1)
 }
@@ -238,12 +238,12 @@
 	m := NewMemory()
 	c := NewClient(m, &now, 1, 1)
 	for range 10 * burstCalls {
-		c.Put(context.Background(), "k", nil, 0)
+		c.Put(context.Background(), "k", nil, gd.Revision{})
 	}
 	is.Equal(m.Counts().Writes, uint64(burstCalls))
 	now.Advance(3 * time.Second)
 	for range 10 {
-		c.Put(context.Background(), "k", nil, 0)
+		c.Put(context.Background(), "k", nil, gd.Revision{})
 	}
 	is.Equal(m.Counts().Writes, uint64(burstCalls+3))
 }
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -17,6 +17,7 @@
 const (
 	PolicyInForce       = "policy-in-force"
 	PolicyRefused       = "policy-refused"
+	PolicyOlder         = "policy-older" // the version read is below the one in force
 	ServerSeen          = "server-seen"
 	ServerForgotten     = "server-forgotten"
 	ServerAnnounced     = "server-announced"
@@ -29,9 +30,12 @@
 	AnnouncementRefused = "announcement-refused"
 	RecordRefused       = "record-refused"
 	PublishFailed       = "publish-failed"
+	RecordPublished     = "record-published"
 	StoreLost           = "store-lost"
 	StoreRegained       = "store-regained"
 	StoreHistoryLost    = "store-history-lost"
+	StoreListed         = "store-listed"
+	StoreRestored       = "store-restored" // the store has come back from an older copy
 	ExchangeFailed      = "exchange-failed"
 	RequestsSuspected   = "requests-suspected"
 )
--- a/internal/telemetry/meter/meter_test.go
+++ b/internal/telemetry/meter/meter_test.go
@@ -23,17 +23,17 @@
 	f.clk.Advance(time.Second)
 	return gd.Entry{}, f.err
 }
-func (f fakeCatalogue) List(context.Context, string) ([]gd.Entry, uint64, error) {
-	return nil, 0, f.err
+func (f fakeCatalogue) List(context.Context, string) ([]gd.Entry, gd.Revision, error) {
+	return nil, gd.Revision{}, f.err
 }
-func (f fakeCatalogue) Watch(context.Context, string, uint64, time.Duration) ([]gd.Entry, uint64, error) {
-	return nil, 0, f.err
+func (f fakeCatalogue) Watch(context.Context, string, gd.Revision, time.Duration) ([]gd.Entry, gd.Revision, error) {
+	return nil, gd.Revision{}, f.err
 }
 func (f fakeCatalogue) ListStale(context.Context, string) ([]gd.Entry, error) { return nil, f.err }
-func (f fakeCatalogue) Put(context.Context, string, string, []byte, uint64) (gd.Entry, error) {
+func (f fakeCatalogue) Put(context.Context, string, string, []byte, gd.Revision) (gd.Entry, error) {
 	return gd.Entry{}, f.err
 }
-func (f fakeCatalogue) Delete(context.Context, string, string, uint64) error { return f.err }
+func (f fakeCatalogue) Delete(context.Context, string, string, gd.Revision) error { return f.err }
 
 func metricsText(m *Meter) string {
 	w := httptest.NewRecorder()
@@ -52,7 +52,7 @@
 	_, err := c.Get(context.Background(), "k", "n")
 	is.NoErr(err)
 	fake.err = gd.Conflict.Errorf("test conflict")
-	_, err = c.Put(context.Background(), "k", "n", nil, 1)
+	_, err = c.Put(context.Background(), "k", "n", nil, gd.Revision{Number: 1})
 	is.True(gd.Conflict.Is(err))
 	fake.err = gd.Unavailable.Errorf("test outage")
 	_, err = c.Get(context.Background(), "k", "n")
--- a/internal/telemetry/meter/store.go
+++ b/internal/telemetry/meter/store.go
@@ -15,12 +15,16 @@
 	meter        *Meter
 	clock        gd.Clock
 	lastResponse atomic.Int64 // monotonic time of the last response, in nanoseconds
+	latest       atomic.Pointer[gd.Revision]
 }
 
 // NewCatalogue returns a Catalogue that calls c and counts the calls in m.
 func NewCatalogue(c gd.Catalogue, m *Meter, clk gd.Clock) *Catalogue {
 	counted := &Catalogue{next: c, meter: m, clock: clk}
 	counted.lastResponse.Store(int64(clk.Monotonic()))
+	counted.latest.Store(&gd.Revision{})
+	m.Gauge("geraniumdock_store_era", func() float64 { return float64(counted.latest.Load().Era) })
+	m.Gauge("geraniumdock_store_revision", func() float64 { return float64(counted.latest.Load().Number) })
 	m.Gauge("geraniumdock_store_unheard_seconds", func() float64 {
 		return (clk.Monotonic() - time.Duration(counted.lastResponse.Load())).Seconds()
 	})
@@ -44,6 +48,13 @@
 	}
 }
 
+// note records the revision that a response of the catalogue named.
+func (c *Catalogue) note(revision gd.Revision, err error) {
+	if err == nil {
+		c.latest.Store(&revision)
+	}
+}
+
 // Get returns one entry.
 func (c *Catalogue) Get(ctx context.Context, kind, name string) (gd.Entry, error) {
 	start := c.clock.Monotonic()
@@ -53,10 +64,11 @@
 }
 
 // List returns all entries of a kind and their revision.
-func (c *Catalogue) List(ctx context.Context, kind string) ([]gd.Entry, uint64, error) {
+func (c *Catalogue) List(ctx context.Context, kind string) ([]gd.Entry, gd.Revision, error) {
 	start := c.clock.Monotonic()
 	entries, revision, err := c.next.List(ctx, kind)
 	c.count("list", start, err)
+	c.note(revision, err)
 	return entries, revision, err
 }
 
@@ -69,23 +81,25 @@
 }
 
 // Watch waits for changes after a revision.
-func (c *Catalogue) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) ([]gd.Entry, uint64, error) {
+func (c *Catalogue) Watch(ctx context.Context, kind string, revision gd.Revision, wait time.Duration) ([]gd.Entry, gd.Revision, error) {
 	start := c.clock.Monotonic()
 	entries, latest, err := c.next.Watch(ctx, kind, revision, wait)
 	c.count("watch", start, err)
+	c.note(latest, err)
 	return entries, latest, err
 }
 
 // Put writes an entry.
-func (c *Catalogue) Put(ctx context.Context, kind, name string, value []byte, revision uint64) (gd.Entry, error) {
+func (c *Catalogue) Put(ctx context.Context, kind, name string, value []byte, revision gd.Revision) (gd.Entry, error) {
 	start := c.clock.Monotonic()
 	e, err := c.next.Put(ctx, kind, name, value, revision)
 	c.count("put", start, err)
+	c.note(e.Revision, err)
 	return e, err
 }
 
 // Delete removes an entry.
-func (c *Catalogue) Delete(ctx context.Context, kind, name string, revision uint64) error {
+func (c *Catalogue) Delete(ctx context.Context, kind, name string, revision gd.Revision) error {
 	start := c.clock.Monotonic()
 	err := c.next.Delete(ctx, kind, name, revision)
 	c.count("delete", start, err)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -61,14 +61,14 @@
 	Action     Action
 	At         clock.Time
 	Record     Record
-	IfRevision uint64
+	IfRevision gd.Revision
 }
 
 // Lease is the immutable state of one candidate for one lease. Use New.
 type Lease struct {
 	self      Record
 	lastSeen  Record
-	revision  uint64
+	revision  gd.Revision
 	known     bool       // the last read or write succeeded
 	heldUntil clock.Time // end of this candidate's lease
 	nextAt    clock.Time
@@ -96,7 +96,7 @@
 		return Step{Action: Read}
 	}
 	own := l.lastSeen.Holder == l.self.Holder
-	if l.revision > 0 && !own && now.Before(l.lastSeen.Expires.Add(MaxClockSkew)) {
+	if !l.revision.IsZero() && !own && now.Before(l.lastSeen.Expires.Add(MaxClockSkew)) {
 		return Step{Action: Wait, At: l.lastSeen.Expires.Add(MaxClockSkew)}
 	}
 	r := l.self
@@ -104,14 +104,14 @@
 	return Step{Action: Write, Record: r, IfRevision: l.revision}
 }
 
-// WithRead returns the state after the lease object was read as o. Revision 0 means
-// that the object does not exist.
+// WithRead returns the state after the lease object was read as o. A zero revision
+// means that the object does not exist.
 func (l Lease) WithRead(now clock.Time, o gd.Object) Lease {
 	l.known = true
 	l.failures = 0
 	l.revision = o.Revision
 	l.lastSeen = Record{}
-	if r, err := Decode(o.Value); err == nil && o.Revision > 0 {
+	if r, err := Decode(o.Value); err == nil && !o.Revision.IsZero() {
 		l.lastSeen = r
 	}
 	l.nextAt = now
@@ -125,7 +125,7 @@
 
 // WithWritten returns the state after a write of r was confirmed with the given
 // revision.
-func (l Lease) WithWritten(now clock.Time, r Record, revision uint64) Lease {
+func (l Lease) WithWritten(now clock.Time, r Record, revision gd.Revision) Lease {
 	l.lastSeen = r
 	l.revision = revision
 	l.known = true
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -126,7 +126,7 @@
 }
 
 func decodeAndStep(data []byte) {
-	l := New("n", "n:1", "dc").WithRead(0, gd.Object{Revision: 1, Value: data})
+	l := New("n", "n:1", "dc").WithRead(0, gd.Object{Revision: gd.Revision{Number: 1}, Value: data})
 	if step := l.Next(0); step.Action == Wait && step.At < 0 {
 		panic("lease waits until a time in the past")
 	}
@@ -145,7 +145,7 @@
 func ExampleLease() {
 	l := New("node-1", "10.0.0.1:8443", "ist-a").WithRead(0, gd.Object{})
 	step := l.Next(0)
-	l = l.WithWritten(0, step.Record, 1)
+	l = l.WithWritten(0, step.Record, gd.Revision{Number: 1})
 	fmt.Println(l.Held(0), l.Held(clock.Time(0).Add(Term)))
 	// Output: true false
 }
--- a/node/control_bench_test.go
+++ b/node/control_bench_test.go
@@ -313,7 +313,7 @@
 
 // watchDirectly reads and watches the table head like a relay.
 func watchDirectly(ctx context.Context, store gd.Store) {
-	var revision uint64
+	var revision gd.Revision
 	var have table.Chunks
 	for ctx.Err() == nil {
 		o, err := store.Get(ctx, table.HeadKey)
--- a/node/role.go
+++ b/node/role.go
@@ -184,7 +184,7 @@
 // follows each watch.
 func (n *Node) watchHead(ctx context.Context) {
 	rnd := n.random(4)
-	var revision uint64
+	var revision gd.Revision
 	for ctx.Err() == nil {
 		o, err := n.cfg.Store.Get(ctx, table.HeadKey)
 		if err == nil && o.Revision != revision {
@@ -196,7 +196,7 @@
 		if err == nil || gd.NotFound.Is(err) {
 			o, err = n.cfg.Store.Watch(ctx, table.HeadKey, revision, watchTimeout)
 		}
-		if err == nil && o.Revision > revision && n.loadHead(ctx, o) == nil {
+		if err == nil && o.Revision.After(revision) && n.loadHead(ctx, o) == nil {
 			revision = o.Revision
 			continue
 		}
--- a/node/shares.go
+++ b/node/shares.go
@@ -55,7 +55,7 @@
 			return nil, err
 		}
 		var pool limit.Pool
-		if o.Revision > 0 {
+		if !o.Revision.IsZero() {
 			if pool, err = limit.Decode(o.Value); err != nil {
 				return nil, err
 			}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -308,7 +308,7 @@
 	net.hubs["relay"].SetHead(0, h.newest(), h.chunks)
 	rnd := rand.New(rand.NewPCG(1, 1))
 	l := lease.New("relay", "relay:1", "dc").WithRead(0, gd.Object{})
-	l = l.WithWritten(0, l.Next(0).Record, 1)
+	l = l.WithWritten(0, l.Next(0).Record, gd.Revision{Number: 1})
 	calls := 0
 	for now := clock.Time(0); now < clock.Time(time.Hour/time.Millisecond); now = now.Add(100 * time.Millisecond) {
 		if l.Next(now).Action != lease.Wait {
--- a/table/editor.go
+++ b/table/editor.go
@@ -37,7 +37,7 @@
 // head's object.
 type storedTable struct {
 	head     Head
-	revision uint64
+	revision gd.Revision
 	table    Table
 	chunks   Chunks
 }
@@ -208,7 +208,7 @@
 			continue
 		}
 		refs[i].Key = chunkPrefix + r.Name + "/" + r.Hash.String() + "-" + id
-		_, err := e.store.Put(ctx, refs[i].Key, chunks[r.Hash], 0)
+		_, err := e.store.Put(ctx, refs[i].Key, chunks[r.Hash], gd.Revision{})
 		// A Conflict means that the object exists. The key contains the hash
 		// and the edit's ID, so an earlier attempt wrote the same content.
 		if err != nil && !gd.Conflict.Is(err) {
--- a/table/editor_test.go
+++ b/table/editor_test.go
@@ -68,7 +68,7 @@
 	beforeWrite func()
 }
 
-func (r *racingStore) Put(ctx context.Context, key string, value []byte, rev uint64) (gd.Object, error) {
+func (r *racingStore) Put(ctx context.Context, key string, value []byte, rev gd.Revision) (gd.Object, error) {
 	if hook := r.beforeWrite; key == HeadKey && hook != nil {
 		r.beforeWrite = nil
 		hook()
