Revisions of an earlier era of the store precede all of the current one

Cause: a node remembers the revision of the policy in force and watches from it. When the store was restored from an older copy it gives that number out again, and a change with the same or a lower number is never reported. Until then the watches were answered 410 and the lists and watches of three nodes went round at 40 calls/s each, since the remembered revision was above that of the list.

Revision.Compare compares eras first, so every place that keeps the later one of two revisions follows the current era: the position of the roster, the revision that nodes tell each other (which now names its era; an old build sends none, which precedes all), watches of the object store and of serve's table head.

--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -40,6 +40,7 @@
 	Digests     []uint32            `cbor:"10,keyasint,omitempty"` // see server.Directory.Digests
 	Checksum    uint64              `cbor:"11,keyasint,omitempty"` // of the encoded policy in force
 	Delta       []byte              `cbor:"12,keyasint,omitempty"` // from the policy that the query names to the one in force
+	RevisionEra uint64              `cbor:"13,keyasint,omitempty"` // era of Revision
 }
 
 // gossip exchanges messages with random nodes, one at a time, until ctx ends.
@@ -200,7 +201,7 @@
 		s.r.cfg.Log.Warn(event.PolicyRefused, "source", "node "+m.Node, "error", gd.Message(err), "in-force", s.version())
 		return
 	}
-	s.installPolicy(raw, gd.Revision{Number: m.Revision}, "node "+m.Node)
+	s.installPolicy(raw, gd.Revision{Era: m.RevisionEra, Number: m.Revision}, "node "+m.Node)
 	if s.version() == m.Version && m.Policy != nil {
 		s.compressed, s.compressedVersion = m.Policy, m.Version
 	}
@@ -231,7 +232,8 @@
 func (s *state) updateFor(m Message) Message {
 	update := s.summary()
 	if s.raw != nil && m.Version < s.version() {
-		update.Revision = s.r.policyRevision().Number
+		revision := s.r.policyRevision()
+		update.Revision, update.RevisionEra = revision.Number, revision.Era
 		if m.Version == s.previous.version && m.Checksum == s.previous.checksum && m.Checksum != 0 {
 			update.Delta = s.deltaFromPrevious()
 		} else {
--- a/internal/fleet/roster/restored_test.go
+++ b/internal/fleet/roster/restored_test.go
@@ -52,7 +52,15 @@
 }
 
 func TestChangeIsMissedAfterStoreWasRestored(t *testing.T) {
-	for name, pollsBetween := range map[string]int{"learned before the change": 2, "learned after the change": 0} {
+	for name, between := range map[string]func(*state, *policyCursor){
+		"change before the next poll": func(*state, *policyCursor) {},
+		"polls before the change":     func(s *state, cursor *policyCursor) { s.poll(cursor); s.poll(cursor) },
+		"policy of another node before the change": func(s *state, cursor *policyCursor) {
+			s.poll(cursor)
+			s.poll(cursor)
+			s.receive(Message{Node: "peer", Version: 4, Policy: compress([]byte("4")), Revision: 4, RevisionEra: 1})
+		},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c, store := newStore(t)
@@ -65,9 +73,7 @@
 			s.poll(&cursor)
 			is.Equal(s.version(), uint64(3))
 			c.Rewind()
-			for range pollsBetween {
-				s.poll(&cursor)
-			}
+			between(s, &cursor)
 			writePolicy(t, c, 5)
 			for _, node := range []string{"a", "b"} { // the store reaches the revision of version 3 again
 				_, err := c.Put(context.Background(), node, "servers", node, []byte("{}"), nil, 0, false)
--- a/internal/store/object/platform_test.go
+++ b/internal/store/object/platform_test.go
@@ -168,6 +168,21 @@
 	is.Equal(string((<-got).Value), "2")
 }
 
+func TestWatchMissesAChangeAfterStoreWasRestored(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, s := newCatalogueStore(t)
+	c.Checkpoint()
+	old, err := s.Put(ctx, "table/head", []byte("1"), gd.Revision{})
+	is.NoErr(err)
+	c.Rewind()
+	_, err = s.Put(ctx, "table/head", []byte("2"), gd.Revision{}) // has the number of the lost change
+	is.NoErr(err)
+	o, err := s.Watch(ctx, "table/head", old.Revision, time.Second)
+	is.NoErr(err)
+	is.Equal(string(o.Value), "2")
+}
+
 // TestListFiltersByPrefix lists one prefix among objects of several prefixes and kinds.
 func TestListFiltersByPrefix(t *testing.T) {
 	is := is.New(t)
--- a/revision.go
+++ b/revision.go
@@ -18,8 +18,11 @@
 func (r Revision) IsZero() bool { return r.Number == 0 }
 
 // Compare returns a positive number if r is later than q, a negative number if it is
-// earlier, and 0 if they are the same.
-func (r Revision) Compare(q Revision) int { return cmp.Compare(r.Number, q.Number) }
+// earlier, and 0 if they are the same. Any revision of an era is later than all those of
+// earlier eras.
+func (r Revision) Compare(q Revision) int {
+	return cmp.Or(cmp.Compare(r.Era, q.Era), cmp.Compare(r.Number, q.Number))
+}
 
 // After reports whether r is later than q.
 func (r Revision) After(q Revision) bool { return r.Compare(q) > 0 }
