roster: the entry of this node is written again after the store was restored

An entry that the store lost with the changes since its copy, or holds in an older form, stayed so: a node compared the revision of the listed entry with the one that it remembered, by number, and found its own newer; and it listed at all only if it had seen the outage or, at the latest, after 15 s, from a list that may be stale. Servers were then unknown to nodes that started later, or known with a state from before.

Every node learns of a later era from the first response that names it or from the messages of others (which also reach nodes that poll once a minute), lists the servers at once and writes its own entry if it differs or is missing. A list tells that the entry is missing if it is later than the entry's last write, where before the time since that write decided. Entries of stale lists have no revision and tell nothing of the own entry: the response names the current era, the copy may be from an earlier one.

TestOwnRecordStaysLostAfterStoreWasRestored and TestStaleListHidesALostRecord failed before; TestNodeThatRarelyPollsMissesThatStoreWasRestored did not compile (no era in messages).

--- a/geraniumdock.go
+++ b/geraniumdock.go
@@ -68,8 +68,8 @@
 	Get(ctx context.Context, kind, name string) (Entry, error)
 	// List returns all entries of a kind and the catalogue's revision.
 	List(ctx context.Context, kind string) ([]Entry, Revision, error)
-	// ListStale is like List, but the entries may be seconds old. It costs less and
-	// does not count towards the rate of calls.
+	// ListStale is like List, but the entries may be seconds old and have no revision. It
+	// costs less and does not count towards the rate of calls.
 	ListStale(ctx context.Context, kind string) ([]Entry, error)
 	// Watch waits until entries of the kind have changed since revision. It returns
 	// them with the revision to continue from.
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	r.noteEra(revision.Era)
+	r.noteEra(ctx, revision.Era)
 	if !cursor.listed {
 		r.cfg.Log.Info(event.StoreListed, "kind", r.cfg.PolicyKind, "revision", revision.String(), "in-force", r.policyRevision().String())
 	}
@@ -130,10 +130,11 @@
 	backoff := firstBackoff
 	isStale := false
 	for ctx.Err() == nil {
-		entries, err := r.listServers(ctx, isStale)
+		entries, revision, err := r.listServers(ctx, isStale)
 		if err == nil {
 			backoff = firstBackoff
-			r.post(ctx, r.mergeEntries(entries, isStale))
+			r.noteEra(ctx, revision.Era)
+			r.post(ctx, r.mergeEntries(entries, revision, isStale))
 			select {
 			case <-r.relist:
 				isStale = false
@@ -162,19 +163,16 @@
 	return r.cfg.Catalogue.List(ctx, kind)
 }
 
-// listServers returns the entries of the servers. With isStale set, they may be
-// seconds old.
-func (r *Roster) listServers(ctx context.Context, isStale bool) ([]gd.Entry, error) {
+// listServers returns the entries of the servers and the catalogue's revision. With
+// isStale set, they may be seconds old and have no revision.
+func (r *Roster) listServers(ctx context.Context, isStale bool) ([]gd.Entry, gd.Revision, error) {
 	if !isStale {
-		entries, revision, err := r.list(ctx, r.cfg.ServerKind)
-		if err == nil {
-			r.noteEra(revision.Era)
-		}
-		return entries, err
+		return r.list(ctx, r.cfg.ServerKind)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.cfg.Catalogue.ListStale(ctx, r.cfg.ServerKind)
+	entries, err := r.cfg.Catalogue.ListStale(ctx, r.cfg.ServerKind)
+	return entries, gd.Revision{}, err
 }
 
 func (r *Roster) watch(ctx context.Context, kind string, revision gd.Revision, wait time.Duration) ([]gd.Entry, gd.Revision, error) {
@@ -205,10 +203,11 @@
 	}
 }
 
-// mergeEntries returns a change that merges the full list of the server records and
-// pushes this node's record to the nodes whose records were new or changed. From a
-// stale list no entry is concluded to be missing, and no dropped record is restored.
-func (r *Roster) mergeEntries(entries []gd.Entry, isStale bool) func(*state) {
+// mergeEntries returns a change that merges the full list of the server records at a
+// revision and pushes this node's record to the nodes whose records were new or changed.
+// From a stale list no entry is concluded to be missing, no dropped record is restored, and
+// nothing is learned of this node's entry.
+func (r *Roster) mergeEntries(entries []gd.Entry, revision gd.Revision, isStale bool) func(*state) {
 	return func(s *state) {
 		listed := map[string]bool{}
 		var records []server.Record
@@ -225,7 +224,7 @@
 				r.cfg.Log.Warn(event.RecordRefused, "entry", e.Name, "revision", e.Revision, "error", gd.Message(err))
 				continue
 			}
-			if rec.Node == r.cfg.Self.Node && !s.revision.After(e.Revision) {
+			if rec.Node == r.cfg.Self.Node && !isStale && !s.revision.After(e.Revision) {
 				s.stored, s.revision = rec, e.Revision
 			}
 			if old, ok := s.forgotten[rec.Node]; isStale && ok && rec.Compare(old) <= 0 {
@@ -238,7 +237,7 @@
 			s.pushTo(found, Message{Records: []server.Record{s.own}})
 		}
 		if !isStale {
-			s.markMissing(listed)
+			s.markMissing(listed, revision)
 			r.wakePublisher()
 			return
 		}
@@ -250,15 +249,17 @@
 
 // markMissing marks the nodes that have no entry in a full list as missing. Nodes
 // whose records have just changed are left out, as they may not have written
-// their entries yet.
-func (s *state) markMissing(listed map[string]bool) {
+// their entries yet. This node's own entry is missing if the list is later than it.
+func (s *state) markMissing(listed map[string]bool, revision gd.Revision) {
 	now := s.r.cfg.Clock.Monotonic()
 	for _, rec := range s.directory.Records() {
-		if at, ok := s.changedAt[rec.Node]; listed[rec.Node] || ok && now-at < missingTimeout {
+		if rec.Node == s.r.cfg.Self.Node {
+			if !listed[rec.Node] && revision.After(s.revision) {
+				s.revision = gd.Revision{}
+			}
 			continue
 		}
-		if rec.Node == s.r.cfg.Self.Node {
-			s.revision = gd.Revision{}
+		if at, ok := s.changedAt[rec.Node]; listed[rec.Node] || ok && now-at < missingTimeout {
 			continue
 		}
 		if _, ok := s.missingSince[rec.Node]; !ok {
@@ -366,7 +367,7 @@
 	}
 	r.cfg.Log.Info(event.RecordPublished, "incarnation", own.Incarnation, "sequence", own.Sequence, "state", own.State.String(),
 		"before", revision.String(), "revision", e.Revision.String())
-	r.noteEra(e.Revision.Era)
+	r.noteEra(ctx, e.Revision.Era)
 	r.post(ctx, func(s *state) {
 		s.stored, s.revision = own, e.Revision
 		s.changedAt[own.Node] = r.cfg.Clock.Monotonic()
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -41,6 +41,7 @@
 	Checksum    uint64              `cbor:"11,keyasint,omitempty"` // of the encoded policy in force
 	Delta       []byte              `cbor:"12,keyasint,omitempty"` // from the policy that the query names to the one in force
 	RevisionEra uint64              `cbor:"13,keyasint,omitempty"` // era of Revision
+	Era         uint64              `cbor:"14,keyasint,omitempty"` // of the catalogue, the latest that the sender knows
 }
 
 // gossip exchanges messages with random nodes, one at a time, until ctx ends.
@@ -93,6 +94,7 @@
 func (s *state) summary() Message {
 	return Message{
 		Node:        s.r.cfg.Self.Node,
+		Era:         s.r.era.Load(),
 		Version:     s.version(),
 		Checksum:    s.checksum,
 		Digests:     s.directory.Digests(),
@@ -158,6 +160,7 @@
 			s.r.cfg.OnHeard(m.Node)
 		}
 	}
+	s.enterEra(m.Era, "node "+m.Node)
 	if m.Version > s.version() {
 		if m.Policy != nil || m.Delta != nil {
 			s.receivePolicy(m)
--- a/internal/fleet/roster/restored_test.go
+++ b/internal/fleet/roster/restored_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
@@ -85,3 +87,110 @@
 		})
 	}
 }
+
+// startWith starts a roster that uses the given store and stops it at the end of the test.
+func startWith(t *testing.T, node string, store gd.Catalogue, x Exchanger) *Roster {
+	r := New(Config{
+		Self:      server.Record{Node: node, Address: node + ":1", Service: "shop", Incarnation: 5},
+		Catalogue: store, PolicyKind: "config", PolicyName: "main", ServerKind: "servers",
+		Decode: decodeVersion, Exchanger: x, Clock: clock.System{}, Log: hclog.NewNullLogger(), Seed: 1,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return r
+}
+
+// storedSlots returns the number of slots in a node's entry, 0 if there is none.
+func storedSlots(c *catalogue.Catalogue, node string) int {
+	e, err := c.Get(context.Background(), "test", "servers", node)
+	if err != nil {
+		return 0
+	}
+	rec, err := decodeRecord(e.Entry)
+	if err != nil {
+		return 0
+	}
+	return rec.Slots
+}
+
+// isEventually reports whether the condition holds within 10 s.
+func isEventually(condition func() bool) bool {
+	for range 1000 {
+		if condition() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func TestOwnRecordStaysLostAfterStoreWasRestored(t *testing.T) {
+	for name, slotsInCopy := range map[string]int{"missing in the copy": 0, "older in the copy": 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, store := newStore(t)
+			r := startWith(t, "own", store, &hangingExchanger{started: make(chan struct{})})
+			writePolicy(t, c, 1)
+			for slots := slotsInCopy; slots <= 2; slots++ {
+				if slots > 0 {
+					r.Announce(context.Background(), server.Record{Service: "shop", Instance: "i", Slots: slots})
+					is.True(isEventually(func() bool { return storedSlots(c, "own") == slots }))
+				}
+				if slots == slotsInCopy {
+					c.Checkpoint()
+				}
+			}
+			c.Rewind()
+			is.Equal(storedSlots(c, "own"), slotsInCopy)
+			is.True(isEventually(func() bool { return storedSlots(c, "own") == 2 }))
+		})
+	}
+}
+
+// TestStaleListHidesALostRecord merges a list that was copied before the store was
+// restored. It holds the record that the store has lost.
+func TestStaleListHidesALostRecord(t *testing.T) {
+	is := is.New(t)
+	c, store := newStore(t)
+	s := storeState(store)
+	ctx := context.Background()
+	s.own, s.hasOwn = server.Record{Node: "own", Address: "own:1", Service: "shop", Slots: 2, Incarnation: 1, Sequence: 2}, true
+	older := s.own
+	older.Slots, older.Sequence = 1, 1
+	for _, rec := range []server.Record{older, s.own} {
+		value, err := json.Marshal(rec)
+		is.NoErr(err)
+		e, err := c.Put(ctx, "own", "servers", "own", value, nil, 0, true)
+		is.NoErr(err)
+		if rec == older {
+			c.Checkpoint()
+		} else {
+			s.stored, s.revision = rec, e.Revision
+		}
+	}
+	stale, err := store.ListStale(ctx, "servers")
+	is.NoErr(err)
+	c.Rewind()
+	for i := range stale {
+		stale[i].Revision.Era = c.Era() // the response names the era in which it was sent
+	}
+	s.r.mergeEntries(stale, gd.Revision{}, true)(s)
+	entries, revision, err := store.List(ctx, "servers")
+	is.NoErr(err)
+	s.r.mergeEntries(entries, revision, false)(s)
+	is.Equal(s.stored, older)
+	is.Equal(s.revision, entries[0].Revision)
+}
+
+func TestNodeThatRarelyPollsMissesThatStoreWasRestored(t *testing.T) {
+	is := is.New(t)
+	_, store := newStore(t)
+	s := storeState(store)
+	s.receive(Message{Node: "peer", Era: 1})
+	is.Equal(len(s.r.relist), 0) // the first era that a node learns of is no restoration
+	s.receive(Message{Node: "peer", Era: 2})
+	is.Equal(len(s.r.relist), 1)
+	is.Equal(s.summary().Era, uint64(2))
+}
--- a/internal/fleet/roster/revision.go
+++ b/internal/fleet/roster/revision.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"context"
+
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 )
@@ -20,12 +22,25 @@
 }
 
 // noteEra records the era of a response of the catalogue.
-func (r *Roster) noteEra(era uint64) {
-	r.mu.Lock()
-	before := r.era
-	r.era = max(era, before)
-	r.mu.Unlock()
-	if before != 0 && era > before {
-		r.cfg.Log.Warn(event.StoreRestored, "era", era, "before", before)
+func (r *Roster) noteEra(ctx context.Context, era uint64) {
+	if era > r.era.Load() {
+		r.post(ctx, func(s *state) { s.enterEra(era, "store") })
+	}
+}
+
+// enterEra records an era of the catalogue. In a later one than known before, entries may
+// be older or missing, so they are listed and this node's entry is written again. Nodes
+// that call the catalogue rarely learn of it from others.
+func (s *state) enterEra(era uint64, source string) {
+	before := s.r.era.Load()
+	if era <= before {
+		return
+	}
+	s.r.era.Store(era)
+	if before == 0 {
+		return
 	}
+	s.r.cfg.Log.Warn(event.StoreRestored, "era", era, "before", before, "source", source)
+	s.r.wakeLister()
+	s.pushTo(s.randomNodes(fanOut), Message{Era: era})
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -72,6 +72,7 @@
 	changes   chan func(*state)
 	publish   chan struct{} // wakes publishLoop
 	relist    chan struct{} // wakes followServers
+	era       atomic.Uint64 // of the catalogue, the latest known
 	started   chan struct{} // closed when the first policy is in force
 	tasks     sync.WaitGroup
 	pushSlots chan struct{} // semaphore for pushes in flight
@@ -81,7 +82,6 @@
 	latest       server.Record // record announced last
 	latestNumber uint64        // number of records announced
 	revision     gd.Revision   // of the entry with the policy in force
-	era          uint64        // of the catalogue, latest one seen
 }
 
 // state is the mutable state of a Roster. Only the control goroutine, which runs
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -359,7 +359,7 @@
 	s.merge([]server.Record{{Node: "peer", Address: "peer:1", Service: "shop", Incarnation: 1}}, "peer")
 	clk.Advance(missingTimeout)
 	s.heardAt["peer"] = clk.Monotonic()
-	s.markMissing(map[string]bool{})
+	s.markMissing(map[string]bool{}, gd.Revision{})
 	clk.Advance(missingTimeout)
 	s.expire()
 	is.Equal(s.directory.Len(), 1) // its last message arrived 2.5 s ago
@@ -384,17 +384,17 @@
 		is.NoErr(err)
 		return gd.Entry{Name: rec.Node, Value: value, Revision: gd.Revision{Number: 1}}
 	}
-	s.r.mergeEntries([]gd.Entry{entry(gone)}, true)(s)
+	s.r.mergeEntries([]gd.Entry{entry(gone)}, gd.Revision{}, true)(s)
 	is.Equal(s.directory.Len(), 0)
 	is.Equal(len(s.r.relist), 0)
 	peer := server.Record{Node: "peer", Address: "peer:1", Service: "shop", Incarnation: 1}
 	s.merge([]server.Record{peer}, "peer")
-	s.r.mergeEntries([]gd.Entry{entry(peer)}, true)(s)
+	s.r.mergeEntries([]gd.Entry{entry(peer)}, gd.Revision{}, true)(s)
 	is.Equal(len(s.r.relist), 0)
-	s.r.mergeEntries(nil, true)(s)
+	s.r.mergeEntries(nil, gd.Revision{}, true)(s)
 	is.Equal(len(s.missingSince), 0)
 	is.Equal(len(s.r.relist), 1)
-	s.r.mergeEntries([]gd.Entry{entry(gone)}, false)(s)
+	s.r.mergeEntries([]gd.Entry{entry(gone)}, gd.Revision{}, false)(s)
 	is.Equal(s.directory.Len(), 2) // a current list is right
 }
 
