roster: a missing entry is looked for again before its server is dropped

A server that joined in the seconds that the store lost is missing in the first list. Its node writes the entry again within a second, but other nodes learned of that only from a message of that very node: with many nodes few get one within 3 s, so the others dropped a live server and refused what third nodes said of it, up to the next current list. The same could happen after any lapse.

Servers that left are dropped as before.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -30,6 +30,9 @@
 	// heardTimeout is the time after its last message for which a missing node
 	// is kept.
 	heardTimeout = 3 * time.Second
+	// confirmInterval is the least time between two lists that confirm that entries are
+	// missing.
+	confirmInterval = callTimeout
 )
 
 // followPolicy follows the policy's entry in the catalogue until ctx ends. A few
@@ -130,11 +133,11 @@
 	backoff := firstBackoff
 	isStale := false
 	for ctx.Err() == nil {
-		entries, revision, err := r.listServers(ctx, isStale)
+		list, err := r.listServers(ctx, isStale)
 		if err == nil {
 			backoff = firstBackoff
-			r.noteEra(ctx, revision.Era)
-			r.post(ctx, r.mergeEntries(entries, revision, isStale))
+			r.noteEra(ctx, list.revision.Era)
+			r.post(ctx, func(s *state) { s.mergeList(list) })
 			select {
 			case <-r.relist:
 				isStale = false
@@ -163,16 +166,26 @@
 	return r.cfg.Catalogue.List(ctx, kind)
 }
 
-// listServers returns the entries of the servers and the catalogue's revision. With
-// isStale set, they may be seconds old and have no revision.
-func (r *Roster) listServers(ctx context.Context, isStale bool) ([]gd.Entry, gd.Revision, error) {
+// serverList is a full list of the entries of the servers.
+type serverList struct {
+	entries  []gd.Entry
+	isStale  bool          // the entries may be seconds old and have no revision
+	revision gd.Revision   // of the catalogue, zero for a stale list
+	asked    time.Duration // monotonic time at which the list was requested
+}
+
+// listServers lists the entries of the servers.
+func (r *Roster) listServers(ctx context.Context, isStale bool) (serverList, error) {
+	l := serverList{isStale: isStale, asked: r.cfg.Clock.Monotonic()}
+	var err error
 	if !isStale {
-		return r.list(ctx, r.cfg.ServerKind)
+		l.entries, l.revision, err = r.list(ctx, r.cfg.ServerKind)
+		return l, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	entries, err := r.cfg.Catalogue.ListStale(ctx, r.cfg.ServerKind)
-	return entries, gd.Revision{}, err
+	l.entries, err = r.cfg.Catalogue.ListStale(ctx, r.cfg.ServerKind)
+	return l, err
 }
 
 func (r *Roster) watch(ctx context.Context, kind string, revision gd.Revision, wait time.Duration) ([]gd.Entry, gd.Revision, error) {
@@ -203,47 +216,45 @@
 	}
 }
 
-// mergeEntries returns a change that merges the full list of the server records at a
-// revision and pushes this node's record to the nodes whose records were new or changed.
-// From a stale list no entry is concluded to be missing, no dropped record is restored, and
-// nothing is learned of this node's entry.
-func (r *Roster) mergeEntries(entries []gd.Entry, revision gd.Revision, isStale bool) func(*state) {
-	return func(s *state) {
-		listed := map[string]bool{}
-		var records []server.Record
-		for _, e := range entries {
-			if e.Deleted {
-				continue
-			}
-			listed[e.Name] = true
-			if !isStale {
-				delete(s.missingSince, e.Name)
-			}
-			rec, err := decodeRecord(e)
-			if err != nil {
-				r.cfg.Log.Warn(event.RecordRefused, "entry", e.Name, "revision", e.Revision, "error", gd.Message(err))
-				continue
-			}
-			if rec.Node == r.cfg.Self.Node && !isStale && !s.revision.After(e.Revision) {
-				s.stored, s.revision = rec, e.Revision
-			}
-			if old, ok := s.forgotten[rec.Node]; isStale && ok && rec.Compare(old) <= 0 {
-				continue
-			}
-			records = append(records, rec)
+// mergeList merges a full list of the server records and pushes this node's record to
+// the nodes whose records were new or changed. From a stale list no entry is concluded to
+// be missing, no dropped record is restored, and nothing is learned of this node's entry.
+func (s *state) mergeList(l serverList) {
+	listed := map[string]bool{}
+	var records []server.Record
+	for _, e := range l.entries {
+		if e.Deleted {
+			continue
 		}
-		found := s.merge(records, "")
-		if s.hasOwn {
-			s.pushTo(found, Message{Records: []server.Record{s.own}})
+		listed[e.Name] = true
+		if !l.isStale {
+			delete(s.missingSince, e.Name)
 		}
-		if !isStale {
-			s.markMissing(listed, revision)
-			r.wakePublisher()
-			return
+		rec, err := decodeRecord(e)
+		if err != nil {
+			s.r.cfg.Log.Warn(event.RecordRefused, "entry", e.Name, "revision", e.Revision.String(), "error", gd.Message(err))
+			continue
+		}
+		if rec.Node == s.r.cfg.Self.Node && !l.isStale && !s.revision.After(e.Revision) {
+			s.stored, s.revision = rec, e.Revision
 		}
-		if slices.ContainsFunc(s.directory.Records(), func(rec server.Record) bool { return !listed[rec.Node] }) {
-			r.wakeLister()
+		if old, ok := s.forgotten[rec.Node]; l.isStale && ok && rec.Compare(old) <= 0 {
+			continue
 		}
+		records = append(records, rec)
+	}
+	found := s.merge(records, "")
+	if s.hasOwn {
+		s.pushTo(found, Message{Records: []server.Record{s.own}})
+	}
+	if !l.isStale {
+		s.listedAt = l.asked
+		s.markMissing(listed, l.revision)
+		s.r.wakePublisher()
+		return
+	}
+	if slices.ContainsFunc(s.directory.Records(), func(rec server.Record) bool { return !listed[rec.Node] }) {
+		s.r.wakeLister()
 	}
 }
 
@@ -269,8 +280,9 @@
 }
 
 // expire drops the servers of nodes that have been missing for missingTimeout and
-// from which no message arrived within heardTimeout. Servers that have left are
-// dropped once their entry is missing. It also drops expired crash reports.
+// from which no message arrived within heardTimeout, if a list requested after that time
+// still lacks their entries. Servers that have left are dropped once their entry is
+// missing. It also drops expired crash reports.
 func (s *state) expire() {
 	now := s.r.cfg.Clock.Monotonic()
 	for node, since := range s.missingSince {
@@ -280,6 +292,8 @@
 		case !ok:
 			delete(s.missingSince, node)
 		case rec.State != server.Gone && (now-since < missingTimeout || wasHeard && now-heardAt < heardTimeout):
+		case rec.State != server.Gone && s.listedAt < since+missingTimeout:
+			s.confirmMissing(now)
 		default:
 			s.directory = s.directory.Without(node)
 			s.forgotten[node] = rec
@@ -292,6 +306,15 @@
 	s.register = s.register.WithoutExpired(s.r.cfg.Clock.Now())
 }
 
+// confirmMissing requests a list, unless one was requested within confirmInterval: the
+// node of a missing entry may have written it again.
+func (s *state) confirmMissing(now time.Duration) {
+	if s.confirmedAt == 0 || now-s.confirmedAt >= confirmInterval {
+		s.confirmedAt = now
+		s.r.wakeLister()
+	}
+}
+
 // decodeRecord decodes and checks the server record in an entry.
 func decodeRecord(e gd.Entry) (server.Record, error) {
 	var rec server.Record
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -103,6 +103,8 @@
 	revision     gd.Revision              // of this node's catalogue entry, zero if there is none
 	changedAt    map[string]time.Duration // by node: when its record was last replaced
 	missingSince map[string]time.Duration // by node: since when the catalogue has no entry for it
+	listedAt     time.Duration            // when the last list that is not stale was requested
+	confirmedAt  time.Duration            // when expire requested a list last
 	heardAt      map[string]time.Duration // by node: when its last message arrived
 	forgotten    map[string]server.Record // by node: records dropped, so that other nodes do not restore them
 	left         bool                     // Leave was called
