roster: a server that has left stays so when its entry comes back

The store's copy holds entries that nodes have removed since. A node that had dropped such a server took it from the next list as available again (a list was trusted whatever it said), one that started later knew no better, and nobody removed the entry, as its node has ended.

An older record of a server that is known to have left, from a list or from another node, is answered by that departure: it is merged in its place and spreads by gossip to those that took the older one. The nodes that watch the policy delete the entry, on condition of its revision.

TestServerThatHasLeftIsUsedAfterStoreWasRestored (both cases) and TestEntryOfServerThatHasLeftStaysAfterStoreWasRestored failed before.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -222,6 +222,7 @@
 func (s *state) mergeList(l serverList) {
 	listed := map[string]bool{}
 	var records []server.Record
+	revisions := map[string]gd.Revision{}
 	for _, e := range l.entries {
 		if e.Deleted {
 			continue
@@ -242,6 +243,7 @@
 			continue
 		}
 		records = append(records, rec)
+		revisions[rec.Node] = e.Revision
 	}
 	found := s.merge(records, "")
 	if s.hasOwn {
@@ -249,6 +251,9 @@
 	}
 	if !l.isStale {
 		s.listedAt = l.asked
+		for _, rec := range records {
+			s.removeDeparted(rec, revisions[rec.Node])
+		}
 		s.markMissing(listed, l.revision)
 		s.r.wakePublisher()
 		return
@@ -258,6 +263,28 @@
 	}
 }
 
+// removeDeparted deletes the entry with rec if it is older than the departure of its
+// server: the store lost its removal, and the node has ended. The few nodes that watch
+// the policy do that for all.
+func (s *state) removeDeparted(rec server.Record, revision gd.Revision) {
+	known, ok := s.directory.Record(rec.Node)
+	heardAt, wasHeard := s.heardAt[rec.Node]
+	if !ok || !isBeforeDeparture(rec, known) || rec.Node == s.r.cfg.Self.Node || wasHeard && s.r.cfg.Clock.Monotonic()-heardAt < heardTimeout || !s.r.isWatcher() {
+		return
+	}
+	r, ctx := s.r, s.ctx
+	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := r.cfg.Catalogue.Delete(ctx, r.cfg.ServerKind, rec.Node, revision)
+		if err != nil {
+			r.cfg.Log.Warn(event.PublishFailed, "entry", rec.Node, "error", gd.Message(err))
+			return
+		}
+		r.cfg.Log.Info(event.EntryRemoved, "node", rec.Node, "incarnation", rec.Incarnation, "sequence", rec.Sequence, "revision", revision.String())
+	})
+}
+
 // markMissing marks the nodes that have no entry in a full list as missing. Nodes
 // whose records have just changed are left out, as they may not have written
 // their entries yet. This node's own entry is missing if the list is later than it.
--- a/internal/fleet/roster/restored_test.go
+++ b/internal/fleet/roster/restored_test.go
@@ -213,3 +213,60 @@
 	s.expire()
 	is.Equal(len(s.directory.Serving()["shop"]), 1)
 }
+
+// departedServer returns a record of a server that has left, and an earlier one.
+func departedServer() (up, gone server.Record) {
+	up = server.Record{Node: "peer", Address: "peer:1", Service: "shop", Instance: "i", Started: 10, Incarnation: 1, Sequence: 4}
+	gone = up.WithState(server.Gone)
+	gone.Sequence = 5
+	return up, gone
+}
+
+func TestServerThatHasLeftIsUsedAfterStoreWasRestored(t *testing.T) {
+	up, gone := departedServer()
+	value, err := json.Marshal(up)
+	is.New(t).NoErr(err)
+	for name, learn := range map[string]func(*state){
+		"from a list":                    func(s *state) { s.mergeList(serverList{entries: []gd.Entry{{Name: "peer", Value: value}}}) },
+		"from a node that started since": func(s *state) { s.merge([]server.Record{up}, "another") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState("own", nil)
+			clk := &clock.Fake{}
+			s.r.cfg.Clock = clk
+			s.merge([]server.Record{gone}, "peer")
+			clk.Advance(time.Minute)
+			s.mergeList(serverList{}) // the node has removed its entry
+			s.expire()
+			is.Equal(s.directory.Len(), 0)
+			learn(s)
+			is.Equal(len(s.directory.Serving()["shop"]), 0)
+			known, ok := s.directory.Record("peer") // it spreads to nodes that took the older record
+			is.True(ok)
+			is.Equal(known, gone)
+		})
+	}
+}
+
+func TestEntryOfServerThatHasLeftStaysAfterStoreWasRestored(t *testing.T) {
+	is := is.New(t)
+	c, store := newStore(t)
+	up, gone := departedServer()
+	value, err := json.Marshal(up)
+	is.NoErr(err)
+	_, err = c.Put(context.Background(), "peer", "servers", "peer", value, nil, 0, false)
+	is.NoErr(err)
+	c.Checkpoint()
+	r := startWith(t, "own", store, &hangingExchanger{started: make(chan struct{})})
+	send(r, Message{Node: "another", Records: []server.Record{gone}})
+	c.Drop("servers", "peer")
+	c.Rewind()
+	is.True(isEventually(func() bool { return !hasEntry(c, "peer") }))
+}
+
+// hasEntry reports whether a node has an entry.
+func hasEntry(c *catalogue.Catalogue, node string) bool {
+	_, err := c.Get(context.Background(), "test", "servers", node)
+	return err == nil
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -249,7 +249,9 @@
 
 // merge adds server records that came from the given node, or from the catalogue
 // if node is "". It returns the records that were newer than the known ones. The
-// old record of a node that was dropped is not accepted from other nodes.
+// old record of a node that was dropped is not accepted from other nodes. If it is older
+// than the departure of its server, that departure is merged instead, so that nodes that
+// don't know it learn of it.
 func (s *state) merge(records []server.Record, node string) []server.Record {
 	records = slices.Clone(records)
 	source := "store"
@@ -257,11 +259,13 @@
 		source = "node " + node
 		records = slices.DeleteFunc(records, func(r server.Record) bool {
 			old, ok := s.forgotten[r.Node]
-			return ok && r.Node != node && r.Compare(old) <= 0
+			return ok && r.Node != node && r.Compare(old) <= 0 && !isBeforeDeparture(r, old)
 		})
 	}
 	for i, r := range records {
-		if old, ok := s.forgotten[r.Node]; ok {
+		if old, ok := s.forgotten[r.Node]; ok && r.Node != node && isBeforeDeparture(r, old) {
+			records[i] = old
+		} else if ok {
 			records[i] = r.WithDepartureOf(old)
 		}
 		if r.Node == s.r.cfg.Self.Node {
@@ -284,6 +288,11 @@
 	return newer
 }
 
+// isBeforeDeparture reports whether r is older than known, by which its server had left.
+func isBeforeDeparture(r, known server.Record) bool {
+	return known.State == server.Gone && r.Compare(known) < 0
+}
+
 // handleOwnRecord handles a record of this node that this process did not write.
 // If the process has announced a record, it announces it again with a higher
 // incarnation. Else the record is one of an earlier process, and is adopted if
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -285,7 +285,7 @@
 func newState(node string, departed *[]server.Record) *state {
 	return &state{
 		r: New(Config{
-			Self: server.Record{Node: node, Address: node + ":1"}, Clock: &clock.Fake{}, Log: hclog.NewNullLogger(),
+			Self: server.Record{Node: node, Address: node + ":1"}, Catalogue: unavailable{}, Clock: &clock.Fake{}, Log: hclog.NewNullLogger(),
 			OnDeparture: func(r server.Record) { *departed = append(*departed, r) },
 		}),
 		ctx: context.Background(), changedAt: map[string]time.Duration{}, missingSince: map[string]time.Duration{},
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -30,6 +30,7 @@
 	AnnouncementRefused = "announcement-refused"
 	RecordRefused       = "record-refused"
 	PublishFailed       = "publish-failed"
+	EntryRemoved        = "entry-removed" // the entry of a server that has left, for its node
 	RecordPublished     = "record-published"
 	StoreLost           = "store-lost"
 	StoreRegained       = "store-regained"
