--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -30,6 +30,9 @@
 	// heardTimeout is the time after its last message for which a missing node
 	// is kept.
 	heardTimeout = 3 * time.Second
+	// confirmInterval is the least time between two lists that confirm that entries are
+	// missing.
+	confirmInterval = callTimeout
 )
 
 // followPolicy follows the policy's entry in the catalogue until ctx ends. A few
@@ -87,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	r.noteEra(revision.Era)
+	r.noteEra(ctx, revision.Era)
 	if !cursor.listed {
 		r.cfg.Log.Info(event.StoreListed, "kind", r.cfg.PolicyKind, "revision", revision.String(), "in-force", r.policyRevision().String())
 	}
@@ -130,10 +133,11 @@
 	backoff := firstBackoff
 	isStale := false
 	for ctx.Err() == nil {
-		entries, err := r.listServers(ctx, isStale)
+		list, err := r.listServers(ctx, isStale)
 		if err == nil {
 			backoff = firstBackoff
-			r.post(ctx, r.mergeEntries(entries, isStale))
+			r.noteEra(ctx, list.revision.Era)
+			r.post(ctx, func(s *state) { s.mergeList(list) })
 			select {
 			case <-r.relist:
 				isStale = false
@@ -162,19 +166,26 @@
 	return r.cfg.Catalogue.List(ctx, kind)
 }
 
-// listServers returns the entries of the servers. With isStale set, they may be
-// seconds old.
-func (r *Roster) listServers(ctx context.Context, isStale bool) ([]gd.Entry, error) {
+// serverList is a full list of the entries of the servers.
+type serverList struct {
+	entries  []gd.Entry
+	isStale  bool          // the entries may be seconds old and have no revision
+	revision gd.Revision   // of the catalogue, zero for a stale list
+	asked    time.Duration // monotonic time at which the list was requested
+}
+
+// listServers lists the entries of the servers.
+func (r *Roster) listServers(ctx context.Context, isStale bool) (serverList, error) {
+	l := serverList{isStale: isStale, asked: r.cfg.Clock.Monotonic()}
+	var err error
 	if !isStale {
-		entries, revision, err := r.list(ctx, r.cfg.ServerKind)
-		if err == nil {
-			r.noteEra(revision.Era)
-		}
-		return entries, err
+		l.entries, l.revision, err = r.list(ctx, r.cfg.ServerKind)
+		return l, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.cfg.Catalogue.ListStale(ctx, r.cfg.ServerKind)
+	l.entries, err = r.cfg.Catalogue.ListStale(ctx, r.cfg.ServerKind)
+	return l, err
 }
 
 func (r *Roster) watch(ctx context.Context, kind string, revision gd.Revision, wait time.Duration) ([]gd.Entry, gd.Revision, error) {
@@ -205,60 +216,88 @@
 	}
 }
 
-// mergeEntries returns a change that merges the full list of the server records and
-// pushes this node's record to the nodes whose records were new or changed. From a
-// stale list no entry is concluded to be missing, and no dropped record is restored.
-func (r *Roster) mergeEntries(entries []gd.Entry, isStale bool) func(*state) {
-	return func(s *state) {
-		listed := map[string]bool{}
-		var records []server.Record
-		for _, e := range entries {
-			if e.Deleted {
-				continue
-			}
-			listed[e.Name] = true
-			if !isStale {
-				delete(s.missingSince, e.Name)
-			}
-			rec, err := decodeRecord(e)
-			if err != nil {
-				r.cfg.Log.Warn(event.RecordRefused, "entry", e.Name, "revision", e.Revision, "error", gd.Message(err))
-				continue
-			}
-			if rec.Node == r.cfg.Self.Node && !s.revision.After(e.Revision) {
-				s.stored, s.revision = rec, e.Revision
-			}
-			if old, ok := s.forgotten[rec.Node]; isStale && ok && rec.Compare(old) <= 0 {
-				continue
-			}
-			records = append(records, rec)
+// mergeList merges a full list of the server records and pushes this node's record to
+// the nodes whose records were new or changed. From a stale list no entry is concluded to
+// be missing, no dropped record is restored, and nothing is learned of this node's entry.
+func (s *state) mergeList(l serverList) {
+	listed := map[string]bool{}
+	var records []server.Record
+	revisions := map[string]gd.Revision{}
+	for _, e := range l.entries {
+		if e.Deleted {
+			continue
 		}
-		found := s.merge(records, "")
-		if s.hasOwn {
-			s.pushTo(found, Message{Records: []server.Record{s.own}})
+		listed[e.Name] = true
+		if !l.isStale {
+			delete(s.missingSince, e.Name)
 		}
-		if !isStale {
-			s.markMissing(listed)
-			r.wakePublisher()
-			return
+		rec, err := decodeRecord(e)
+		if err != nil {
+			s.r.cfg.Log.Warn(event.RecordRefused, "entry", e.Name, "revision", e.Revision.String(), "error", gd.Message(err))
+			continue
 		}
-		if slices.ContainsFunc(s.directory.Records(), func(rec server.Record) bool { return !listed[rec.Node] }) {
-			r.wakeLister()
+		if rec.Node == s.r.cfg.Self.Node && !l.isStale && !s.revision.After(e.Revision) {
+			s.stored, s.revision = rec, e.Revision
 		}
+		if old, ok := s.forgotten[rec.Node]; l.isStale && ok && rec.Compare(old) <= 0 {
+			continue
+		}
+		records = append(records, rec)
+		revisions[rec.Node] = e.Revision
 	}
+	found := s.merge(records, "")
+	if s.hasOwn {
+		s.pushTo(found, Message{Records: []server.Record{s.own}})
+	}
+	if !l.isStale {
+		s.listedAt = l.asked
+		for _, rec := range records {
+			s.removeDeparted(rec, revisions[rec.Node])
+		}
+		s.markMissing(listed, l.revision)
+		s.r.wakePublisher()
+		return
+	}
+	if slices.ContainsFunc(s.directory.Records(), func(rec server.Record) bool { return !listed[rec.Node] }) {
+		s.r.wakeLister()
+	}
+}
+
+// removeDeparted deletes the entry with rec if it is older than the departure of its
+// server: the store lost its removal, and the node has ended. The few nodes that watch
+// the policy do that for all.
+func (s *state) removeDeparted(rec server.Record, revision gd.Revision) {
+	known, ok := s.directory.Record(rec.Node)
+	heardAt, wasHeard := s.heardAt[rec.Node]
+	if !ok || !isBeforeDeparture(rec, known) || rec.Node == s.r.cfg.Self.Node || wasHeard && s.r.cfg.Clock.Monotonic()-heardAt < heardTimeout || !s.r.isWatcher() {
+		return
+	}
+	r, ctx := s.r, s.ctx
+	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := r.cfg.Catalogue.Delete(ctx, r.cfg.ServerKind, rec.Node, revision)
+		if err != nil {
+			r.cfg.Log.Warn(event.PublishFailed, "entry", rec.Node, "error", gd.Message(err))
+			return
+		}
+		r.cfg.Log.Info(event.EntryRemoved, "node", rec.Node, "incarnation", rec.Incarnation, "sequence", rec.Sequence, "revision", revision.String())
+	})
 }
 
 // markMissing marks the nodes that have no entry in a full list as missing. Nodes
 // whose records have just changed are left out, as they may not have written
-// their entries yet.
-func (s *state) markMissing(listed map[string]bool) {
+// their entries yet. This node's own entry is missing if the list is later than it.
+func (s *state) markMissing(listed map[string]bool, revision gd.Revision) {
 	now := s.r.cfg.Clock.Monotonic()
 	for _, rec := range s.directory.Records() {
-		if at, ok := s.changedAt[rec.Node]; listed[rec.Node] || ok && now-at < missingTimeout {
+		if rec.Node == s.r.cfg.Self.Node {
+			if !listed[rec.Node] && revision.After(s.revision) {
+				s.revision = gd.Revision{}
+			}
 			continue
 		}
-		if rec.Node == s.r.cfg.Self.Node {
-			s.revision = gd.Revision{}
+		if at, ok := s.changedAt[rec.Node]; listed[rec.Node] || ok && now-at < missingTimeout {
 			continue
 		}
 		if _, ok := s.missingSince[rec.Node]; !ok {
@@ -268,8 +307,9 @@
 }
 
 // expire drops the servers of nodes that have been missing for missingTimeout and
-// from which no message arrived within heardTimeout. Servers that have left are
-// dropped once their entry is missing. It also drops expired crash reports.
+// from which no message arrived within heardTimeout, if a list requested after that time
+// still lacks their entries. Servers that have left are dropped once their entry is
+// missing. It also drops expired crash reports.
 func (s *state) expire() {
 	now := s.r.cfg.Clock.Monotonic()
 	for node, since := range s.missingSince {
@@ -279,6 +319,8 @@
 		case !ok:
 			delete(s.missingSince, node)
 		case rec.State != server.Gone && (now-since < missingTimeout || wasHeard && now-heardAt < heardTimeout):
+		case rec.State != server.Gone && s.listedAt < since+missingTimeout:
+			s.confirmMissing(now)
 		default:
 			s.directory = s.directory.Without(node)
 			s.forgotten[node] = rec
@@ -291,6 +333,15 @@
 	s.register = s.register.WithoutExpired(s.r.cfg.Clock.Now())
 }
 
+// confirmMissing requests a list, unless one was requested within confirmInterval: the
+// node of a missing entry may have written it again.
+func (s *state) confirmMissing(now time.Duration) {
+	if s.confirmedAt == 0 || now-s.confirmedAt >= confirmInterval {
+		s.confirmedAt = now
+		s.r.wakeLister()
+	}
+}
+
 // decodeRecord decodes and checks the server record in an entry.
 func decodeRecord(e gd.Entry) (server.Record, error) {
 	var rec server.Record
@@ -366,7 +417,7 @@
 	}
 	r.cfg.Log.Info(event.RecordPublished, "incarnation", own.Incarnation, "sequence", own.Sequence, "state", own.State.String(),
 		"before", revision.String(), "revision", e.Revision.String())
-	r.noteEra(e.Revision.Era)
+	r.noteEra(ctx, e.Revision.Era)
 	r.post(ctx, func(s *state) {
 		s.stored, s.revision = own, e.Revision
 		s.changedAt[own.Node] = r.cfg.Clock.Monotonic()
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -72,6 +72,7 @@
 	changes   chan func(*state)
 	publish   chan struct{} // wakes publishLoop
 	relist    chan struct{} // wakes followServers
+	era       atomic.Uint64 // of the catalogue, the latest known
 	started   chan struct{} // closed when the first policy is in force
 	tasks     sync.WaitGroup
 	pushSlots chan struct{} // semaphore for pushes in flight
@@ -81,7 +82,6 @@
 	latest       server.Record // record announced last
 	latestNumber uint64        // number of records announced
 	revision     gd.Revision   // of the entry with the policy in force
-	era          uint64        // of the catalogue, latest one seen
 }
 
 // state is the mutable state of a Roster. Only the control goroutine, which runs
@@ -103,6 +103,8 @@
 	revision     gd.Revision              // of this node's catalogue entry, zero if there is none
 	changedAt    map[string]time.Duration // by node: when its record was last replaced
 	missingSince map[string]time.Duration // by node: since when the catalogue has no entry for it
+	listedAt     time.Duration            // when the last list that is not stale was requested
+	confirmedAt  time.Duration            // when expire requested a list last
 	heardAt      map[string]time.Duration // by node: when its last message arrived
 	forgotten    map[string]server.Record // by node: records dropped, so that other nodes do not restore them
 	left         bool                     // Leave was called
@@ -247,7 +249,9 @@
 
 // merge adds server records that came from the given node, or from the catalogue
 // if node is "". It returns the records that were newer than the known ones. The
-// old record of a node that was dropped is not accepted from other nodes.
+// old record of a node that was dropped is not accepted from other nodes. If it is older
+// than the departure of its server, that departure is merged instead, so that nodes that
+// don't know it learn of it.
 func (s *state) merge(records []server.Record, node string) []server.Record {
 	records = slices.Clone(records)
 	source := "store"
@@ -255,11 +259,13 @@
 		source = "node " + node
 		records = slices.DeleteFunc(records, func(r server.Record) bool {
 			old, ok := s.forgotten[r.Node]
-			return ok && r.Node != node && r.Compare(old) <= 0
+			return ok && r.Node != node && r.Compare(old) <= 0 && !isBeforeDeparture(r, old)
 		})
 	}
 	for i, r := range records {
-		if old, ok := s.forgotten[r.Node]; ok {
+		if old, ok := s.forgotten[r.Node]; ok && r.Node != node && isBeforeDeparture(r, old) {
+			records[i] = old
+		} else if ok {
 			records[i] = r.WithDepartureOf(old)
 		}
 		if r.Node == s.r.cfg.Self.Node {
@@ -282,6 +288,11 @@
 	return newer
 }
 
+// isBeforeDeparture reports whether r is older than known, by which its server had left.
+func isBeforeDeparture(r, known server.Record) bool {
+	return known.State == server.Gone && r.Compare(known) < 0
+}
+
 // handleOwnRecord handles a record of this node that this process did not write.
 // If the process has announced a record, it announces it again with a higher
 // incarnation. Else the record is one of an earlier process, and is adopted if
