roster: the entry of a server that left is removed though its node was just heard

The removal waited for silence of the node, and no list followed within that time, so that the entry stayed (found by the test of a whole fleet). The delete is conditional, so it needs no wait: a node that still runs finds its entry gone, as it wanted, or writes it anew.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -264,12 +264,11 @@
 }
 
 // removeDeparted deletes the entry with rec if it is older than the departure of its
-// server: the store lost its removal, and the node has ended. The few nodes that watch
+// server: the store lost its removal. The node may have ended, so the few nodes that watch
 // the policy do that for all.
 func (s *state) removeDeparted(rec server.Record, revision gd.Revision) {
 	known, ok := s.directory.Record(rec.Node)
-	heardAt, wasHeard := s.heardAt[rec.Node]
-	if !ok || !isBeforeDeparture(rec, known) || rec.Node == s.r.cfg.Self.Node || wasHeard && s.r.cfg.Clock.Monotonic()-heardAt < heardTimeout || !s.r.isWatcher() {
+	if !ok || !isBeforeDeparture(rec, known) || rec.Node == s.r.cfg.Self.Node || !s.r.isWatcher() {
 		return
 	}
 	r, ctx := s.r, s.ctx
