claim: a claim that the store has lost still holds

A key that was claimed in the seconds that a restored store had lost could be claimed again: a writer replaced what it knew of the partition by the older content at the next conflict, and a repeat ran a second time, at the same node or at another. (Found by looking for what else is kept of the store; no caller has reported it.)

A writer adds the claims that it knows to what it reads, and Restore writes all its partitions again at once, until that succeeds.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -117,6 +117,16 @@
 	return next, winners, nil
 }
 
+// WithClaimsOf returns the partition with those claims of q added whose keys are free.
+func (p Partition) WithClaimsOf(q Partition) Partition {
+	entries := maps.Clone(q.entries)
+	if entries == nil {
+		return p
+	}
+	maps.Copy(entries, p.entries)
+	return Partition{entries: entries}
+}
+
 // RankNodes returns the nodes ordered by rendezvous hash for a partition. The first
 // one that is available claims the partition's keys, so that one process batches
 // them and conditional updates rarely conflict.
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -179,6 +179,62 @@
 	is.Equal(winner.Holder.Node, "n")
 }
 
+// keysOfOnePartition returns n keys of the same partition.
+func keysOfOnePartition(n int) []Key {
+	var keys []Key
+	for i := 0; len(keys) < n; i++ {
+		if k := KeyOf("s", "a", fmt.Sprint(i)); k.Partition() == 0 {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+func TestKeyIsClaimedTwiceAfterStoreWasRestored(t *testing.T) {
+	for name, c := range map[string]struct {
+		restore bool // the writer learns that the store was restored
+		repeat  string
+	}{
+		"repeat at the same node":   {false, "first"},
+		"repeat at another node":    {true, "second"},
+		"another claim comes first": {false, "second"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			m := object.NewMemory()
+			writers := map[string]*Writer{}
+			for _, node := range []string{"first", "second"} {
+				writers[node] = NewWriter(m, clock.System{}, Holder{Node: node, Incarnation: 1}, writesPerSecond)
+				defer writers[node].Close()
+			}
+			keys := keysOfOnePartition(3)
+			claim := func(node string, k Key) (Entry, bool) {
+				e, mine, err := writers[node].Claim(ctx, "s", k)
+				is.NoErr(err)
+				return e, mine
+			}
+			claim("first", keys[0])
+			m.Checkpoint()
+			won, mine := claim("first", keys[1])
+			is.True(mine)
+			m.Rewind()
+			switch {
+			case c.restore:
+				writers["first"].Restore()
+				o, err := m.Watch(ctx, keyPrefix+"s/0", gd.Revision{Era: 2, Number: 1}, time.Minute)
+				is.NoErr(err)
+				is.True(o.Revision.Number > 1)
+			case c.repeat == "second":
+				claim("first", keys[2])
+			}
+			e, mine := claim(c.repeat, keys[1])
+			is.True(!mine)
+			is.Equal(e, won)
+		})
+	}
+}
+
 func TestOutageRefusesClaims(t *testing.T) {
 	is := is.New(t)
 	m := object.NewMemory()
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -37,6 +37,7 @@
 	key      string // of the partition's object in the store
 	pending  []waiter
 	writing  bool // writeAll is running
+	lost     bool // the store may have lost claims in current
 	revision gd.Revision
 	current  Partition
 	known    bool // current is the content of the object at revision
@@ -100,26 +101,39 @@
 		w.batches[name] = b
 	}
 	b.pending = append(b.pending, waiter{e, done})
+	w.startWriting(b)
+	return e
+}
+
+// startWriting starts a goroutine that writes b, unless one is running. The caller holds
+// w.mu.
+func (w *Writer) startWriting(b *batch) {
 	if !b.writing && w.stopCtx.Err() == nil {
 		b.writing = true
 		w.writes.Go(func() { w.writeAll(b) })
 	}
-	return e
 }
 
-// writeAll writes the claims of b until none is pending.
+// writeAll writes the claims of b until none is pending or lost.
 func (w *Writer) writeAll(b *batch) {
 	for {
 		w.mu.Lock()
-		waiting := b.pending
-		b.pending = nil
-		if len(waiting) == 0 || w.stopCtx.Err() != nil {
+		waiting, lost := b.pending, b.lost
+		b.pending, b.lost = nil, false
+		if len(waiting) == 0 && !lost || w.stopCtx.Err() != nil {
 			b.writing = false
 			w.mu.Unlock()
 			return
 		}
 		w.mu.Unlock()
-		w.writeBatch(b, waiting)
+		if lost {
+			b.known = false
+		}
+		if err := w.writeBatch(b, waiting); err != nil && lost {
+			w.mu.Lock()
+			b.lost = true
+			w.mu.Unlock()
+		}
 		sleep(w.stopCtx, w.writeInterval())
 	}
 }
@@ -138,8 +152,9 @@
 	return time.Duration(active) * w.minInterval
 }
 
-// writeBatch commits the waiting claims and sends each its result.
-func (w *Writer) writeBatch(b *batch, waiting []waiter) {
+// writeBatch commits the waiting claims and sends each its result. It returns the error
+// that they have in common.
+func (w *Writer) writeBatch(b *batch, waiting []waiter) error {
 	claims := make([]Entry, len(waiting))
 	for i, c := range waiting {
 		claims[i] = c.entry
@@ -152,6 +167,7 @@
 		}
 		c.result <- r
 	}
+	return err
 }
 
 // commit adds the claims by conditional update and returns the entry that holds the
@@ -179,17 +195,23 @@
 	return nil, err
 }
 
+// read reads the content of the partition. Claims that were known and are not in it have
+// been lost with the changes since a copy of the store, and still hold.
 func (w *Writer) read(b *batch) error {
 	o, err := w.store.Get(w.stopCtx, b.key)
 	if err != nil && !gd.NotFound.Is(err) {
 		return err
 	}
-	b.current, b.revision, b.known = Partition{}, o.Revision, true
+	b.revision, b.known = o.Revision, true
 	if o.Revision.IsZero() {
 		return nil
 	}
-	b.current, err = Decode(o.Value)
-	return err
+	stored, err := Decode(o.Value)
+	if err != nil {
+		return err
+	}
+	b.current = stored.WithClaimsOf(b.current)
+	return nil
 }
 
 func (w *Writer) put(b *batch, next Partition) error {
@@ -205,6 +227,17 @@
 	return nil
 }
 
+// Restore writes the claims again that the store has lost because it was restored from an
+// older copy. It returns at once.
+func (w *Writer) Restore() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.batches {
+		b.lost = true
+		w.startWriting(b)
+	}
+}
+
 // Close cancels the writes in progress and waits until they have ended.
 func (w *Writer) Close() error {
 	w.stop()
--- a/internal/store/object/memory.go
+++ b/internal/store/object/memory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -38,11 +39,18 @@
 	lastRevision gd.Revision // shared by all keys, so that a key's revision also grows when it is written again after a deletion
 	faults       Faults
 	changed      chan struct{} // closed and replaced at each change
+	checkpoint   checkpoint
+}
+
+// checkpoint is a copy of the objects of a Memory.
+type checkpoint struct {
+	objects map[string]gd.Object
+	number  uint64 // of the last change in the copy
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{objects: map[string]gd.Object{}, changed: make(chan struct{})}
+	return &Memory{objects: map[string]gd.Object{}, lastRevision: gd.Revision{Era: 1}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults that are simulated.
@@ -53,6 +61,30 @@
 	m.notifyWatches()
 }
 
+// Checkpoint copies all objects. The copy replaces an earlier one.
+func (m *Memory) Checkpoint() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.checkpoint = checkpoint{maps.Clone(m.objects), m.lastRevision.Number}
+}
+
+// Rewind replaces the objects by the last copy, or by none if there is no copy. The
+// revisions of the changes since are given out again in a new era.
+func (m *Memory) Rewind() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects = maps.Clone(m.checkpoint.objects)
+	if m.objects == nil {
+		m.objects = map[string]gd.Object{}
+	}
+	m.lastRevision = gd.Revision{Era: m.lastRevision.Era + 1, Number: m.checkpoint.number}
+	for key, o := range m.objects {
+		o.Revision.Era = m.lastRevision.Era
+		m.objects[key] = o
+	}
+	m.notifyWatches()
+}
+
 // Counts returns the numbers of calls received so far.
 func (m *Memory) Counts() Counts {
 	return Counts{m.reads.Load(), m.writes.Load(), m.watches.Load()}
