node: a table and claims that the platform lost are written again

Nodes of the product ignore an older table, but a confirmed edit that the platform lost when its store was restored existed only in the memory of the nodes: further edits were refused until an operator ran table restore, and a fleet that restarted before would have served the older table. Claims that a node had made were lost at the store until its next claim of the same partition, so that a repeat at another node could run again.

Every revision names the era now, also that of an object that does not exist. Relays read the head at least every 5 s; one that meets a later era tells its nodes (a field of Seats, which older builds ignore), and each node writes its claims again. A relay that finds a version below the one it distributes commits its table again after 1 to 2 s; the conditional update lets one of them win. Restore leaves out 16 versions, since a node out of reach may have a later lost version in force, which must not share a number with another table.

--- a/geraniumdock.go
+++ b/geraniumdock.go
@@ -37,7 +37,8 @@
 // Store is the platform's object store. Its errors are of the kinds NotFound, Conflict,
 // TooLarge, TimedOut (Watch only) and Unavailable (the outcome is unknown).
 type Store interface {
-	// Get returns the object at key.
+	// Get returns the object at key. If there is none, the error is of kind NotFound and
+	// the object's revision has only an era.
 	Get(ctx context.Context, key string) (Object, error)
 	// Put writes value if the object's revision is still ifRevision, where
 	// the zero value means that the key must not exist.
--- a/internal/store/object/catalogue.go
+++ b/internal/store/object/catalogue.go
@@ -48,10 +48,10 @@
 	kind, name := entryFor(key)
 	e, err := s.catalogue.Get(ctx, kind, name)
 	switch {
+	case gd.NotFound.Is(err), err == nil && e.Deleted:
+		return gd.Object{Revision: gd.Revision{Era: e.Revision.Era}}, gd.NotFound.Errorf("no object %s", key)
 	case err != nil:
 		return gd.Object{}, err
-	case e.Deleted:
-		return gd.Object{}, gd.NotFound.Errorf("no object %s", key)
 	}
 	return decodeObject(key, e)
 }
--- a/internal/store/object/memory.go
+++ b/internal/store/object/memory.go
@@ -100,7 +100,7 @@
 	defer m.mu.Unlock()
 	o, ok := m.objects[key]
 	if !ok {
-		return gd.Object{}, gd.NotFound.Errorf("no object %s", key)
+		return gd.Object{Revision: gd.Revision{Era: m.lastRevision.Era}}, gd.NotFound.Errorf("no object %s", key)
 	}
 	return o, nil
 }
@@ -116,7 +116,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.objects[key].Revision != ifRevision {
+	if m.objects[key].Revision != ifRevision && !(ifRevision.IsZero() && m.objects[key].Revision.IsZero()) {
 		return gd.Object{}, gd.Conflict.Errorf("object %s is at revision %s, not %s", key, m.objects[key].Revision, ifRevision)
 	}
 	m.lastRevision.Number++
--- a/node/control.go
+++ b/node/control.go
@@ -39,6 +39,9 @@
 	relayLinks   map[string]*peerLink // links that this relay opened to other relays
 	cancelRole   context.CancelFunc   // stops the goroutines of the relay role; nil unless the node is a relay
 
+	era                  uint64     // of the platform's store, the latest known
+	eraSince             clock.Time // when a later era than the first became known, or 0
+	restoring            bool       // restoreTable runs
 	shareSerial          uint64
 	sharesRequestedAt    clock.Time // 0 if no share request awaits a reply
 	pendingStatuses      map[uint64]chan *relay.StatusReply
@@ -239,6 +242,7 @@
 	if len(s.Seats) > 0 {
 		c.seats = s.Seats
 	}
+	c.enterEra(s.Era)
 	if s.Redirect {
 		c.n.log.Info("leaving relay: it redirected the node to other relays", "relay", l.name)
 		l.close()
--- a/node/role.go
+++ b/node/role.go
@@ -136,6 +136,7 @@
 	head, chunks := c.follower.Head()
 	c.hub.SetHead(c.now(), head, chunks)
 	c.hub.Init(c.now(), c.follower.Directory(), c.follower.Register())
+	c.hub.SetEra(c.era)
 	if c.uplink != nil {
 		c.uplink.close()
 		c.uplink = nil
@@ -187,6 +188,9 @@
 	var revision gd.Revision
 	for ctx.Err() == nil {
 		o, err := n.cfg.Store.Get(ctx, table.HeadKey)
+		if err == nil || gd.NotFound.Is(err) {
+			n.checkStoredTable(ctx, o)
+		}
 		if err == nil && o.Revision != revision {
 			err = n.loadHead(ctx, o)
 		}
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -52,6 +52,7 @@
 	directory       server.Directory
 	register        quarantine.Register
 	seats           []Seat
+	era             uint64                    // of the platform's store
 	disconnected    map[string]disconnection  // nodes without a link whose servers are not yet marked as lost
 	aheadSince      map[string]clock.Time     // when a relay was first known to have a newer version, by relay
 	departedSince   map[string]clock.Time     // when a server was lost or gone, by node
@@ -139,7 +140,7 @@
 // initialState returns the messages that bring a new link up to date, apart from
 // the table.
 func (h *Hub) initialState(hello *Hello) []Send {
-	sends := []Send{{hello.Node, &Seats{Seats: h.seats}}}
+	sends := []Send{{hello.Node, &Seats{Seats: h.seats, Era: h.era}}}
 	if h.directory.Digest() != hello.Digest {
 		sends = append(sends, Send{hello.Node, &Members{Records: h.directory.Records(), Full: true}})
 	}
--- a/relay/message.go
+++ b/relay/message.go
@@ -100,6 +100,7 @@
 type Seats struct {
 	Seats    []Seat `cbor:"1,keyasint"`
 	Redirect bool   `cbor:"2,keyasint,omitempty"`
+	Era      uint64 `cbor:"3,keyasint,omitempty"` // of the platform's store, the latest that the sender knows
 }
 
 // Invite asks the node to try to acquire a vacant seat of its data centre.
--- a/relay/seats.go
+++ b/relay/seats.go
@@ -15,7 +15,17 @@
 		return nil
 	}
 	h.seats = seats
-	return h.broadcast(&Seats{Seats: seats}, "")
+	return h.broadcast(&Seats{Seats: seats, Era: h.era}, "")
+}
+
+// SetEra sets the era of the platform's store. If it changed, SetEra sends it over all
+// links.
+func (h *Hub) SetEra(era uint64) []Send {
+	if era <= h.era {
+		return nil
+	}
+	h.era = era
+	return h.broadcast(&Seats{Seats: h.seats, Era: era}, "")
 }
 
 // invite invites a random node of each data centre to a vacant seat. It invites
--- a/table/editor.go
+++ b/table/editor.go
@@ -16,6 +16,9 @@
 const (
 	maxCommitAttempts = 8
 	retainedVersions  = 16 // versions for which a replaced chunk stays readable
+	// restoreGap is the number of versions that Restore leaves out, as a node out of reach
+	// may have later lost versions in force than the one that restores.
+	restoreGap = 16
 )
 
 // Editor commits edits of the table to the platform's store.
@@ -171,8 +174,8 @@
 	return err
 }
 
-// Restore commits t again after the platform lost it. It fails with a Conflict
-// unless the platform holds an older version than t.
+// Restore commits t again, as a later version, after the platform lost it. It fails with a
+// Conflict unless the platform holds an older version than t.
 func (e *Editor) Restore(ctx context.Context, t Table, edit Edit) (Receipt, error) {
 	stored, err := e.load(ctx)
 	if err != nil {
@@ -181,7 +184,7 @@
 	if stored.head.Version >= t.version {
 		return Receipt{}, gd.Conflict.Errorf("the platform holds table version %d, which is not older than version %d in force on this node", stored.head.Version, t.version)
 	}
-	next := Table{version: t.version + 1, chunks: t.chunks}
+	next := Table{version: t.version + restoreGap + 1, chunks: t.chunks}
 	head, err := e.writeChunks(ctx, stored, next, edit.ID)
 	if err != nil {
 		return Receipt{}, err
