limit: shares are not raised from a pool that may have lost grants

After the store was restored a pool can lack the last raises. A node that asks then got what others hold: the sum of the shares exceeded the limit until those nodes asked again, up to 15 minutes.

TestSharesExceedTheLimitAfterStoreWasRestored: with the requests answered as before (no reports) the sum of the shares exceeds the limit of 10 at the first step.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -111,6 +111,35 @@
 	})
 }
 
+func TestSharesExceedTheLimitAfterStoreWasRestored(t *testing.T) {
+	is := is.New(t)
+	limits := map[Key]int64{concurrencyKey: 10}
+	meters := map[string]*Meter{"n0": {}, "n1": {}}
+	for _, m := range meters {
+		m.SetLimits(limits)
+	}
+	copied := requestSharesInTurn(Pool{}, limits, meters, map[string]float64{"n0": 2, "n1": 8})
+	requestSharesInTurn(copied, limits, meters, map[string]float64{"n0": 8, "n1": 2})
+	is.Equal(meters["n0"].limiter(0, concurrencyKey).share, int64(8)) // the copy has 2
+	meters["n1"].limiter(0, concurrencyKey).demand = 8
+
+	pool, serial := copied, uint64(100)
+	for _, step := range []struct {
+		node    string
+		request func(Pool, clock.Time, Requester, []Request, map[Key]int64) (Pool, []Share)
+	}{{"n1", Pool.WithReports}, {"n0", Pool.WithReports}, {"n1", Pool.WithRequests}, {"n0", Pool.WithRequests}} {
+		serial++
+		m := meters[step.node]
+		m.RequestAgain()
+		var shares []Share
+		pool, shares = step.request(pool, 0, Requester{step.node, 1, serial}, m.Requests(0), limits)
+		for _, s := range shares {
+			m.SetShare(0, s)
+		}
+		is.True(meters["n0"].limiter(0, concurrencyKey).share+meters["n1"].limiter(0, concurrencyKey).share <= 10)
+	}
+}
+
 // requestSharesInTurn makes the nodes request shares in turn, with enough rounds for
 // the shares to become stable.
 func requestSharesInTurn(pool Pool, limits map[Key]int64, meters map[string]*Meter, demand map[string]float64) Pool {
--- a/limit/pool.go
+++ b/limit/pool.go
@@ -120,6 +120,20 @@
 // WithRequests returns the pool after the node's share requests, and the shares that
 // the node may enforce once the pool is written. The limits are those of the table.
 func (p Pool) WithRequests(now clock.Time, from Requester, requests []Request, limits map[Key]int64) (Pool, []Share) {
+	return p.withRequests(now, from, requests, limits, Pool.updateGrant)
+}
+
+// WithReports is like WithRequests for a pool that may lack grants, because the store lost
+// its last writes. The pool takes over the shares that the node reports, and raises none.
+func (p Pool) WithReports(now clock.Time, from Requester, requests []Request, limits map[Key]int64) (Pool, []Share) {
+	return p.withRequests(now, from, requests, limits, Pool.recoverGrant)
+}
+
+// updateFunc updates a node's grant in a pool and returns the share that the node may
+// enforce, or false if the share request is ignored.
+type updateFunc func(p Pool, now clock.Time, from Requester, r Request, limit int64) (int64, bool)
+
+func (p Pool) withRequests(now clock.Time, from Requester, requests []Request, limits map[Key]int64, update updateFunc) (Pool, []Share) {
 	next := Pool{grants: maps.Clone(p.grants)}
 	if next.grants == nil {
 		next.grants = map[grantKey]Grant{}
@@ -128,7 +142,7 @@
 	var shares []Share
 	for _, r := range requests {
 		limit := limits[r.Key]
-		if amount, ok := next.updateGrant(now, from, r, limit); ok {
+		if amount, ok := update(next, now, from, r, limit); ok {
 			shares = append(shares, Share{r.Key, amount, limit})
 		}
 	}
@@ -139,28 +153,53 @@
 // enforce. It returns false for a share request that arrives after a later one of
 // the node.
 func (p Pool) updateGrant(now clock.Time, from Requester, r Request, limit int64) (int64, bool) {
-	gk := grantKey{r.Key, from.Node}
-	g := p.grants[gk]
-	switch {
-	case g.Incarnation > from.Incarnation, g.Incarnation == from.Incarnation && g.Serial >= from.Serial:
+	g, ok := p.grantOf(now, from, r)
+	if !ok {
 		return 0, false
-	case g.Incarnation < from.Incarnation:
-		g.Amount = 0 // the earlier process of the node has ended
 	}
 	g.Amount = min(g.Amount, r.Holding)
-	g.Key, g.Node, g.Incarnation, g.Serial = r.Key, from.Node, from.Incarnation, from.Serial
-	g.Demand = r.Demand
-	g.Expires = now.Add(GrantTTL)
-	p.grants[gk] = g
-	target := p.target(r.Key, from.Node, limit)
+	target := p.record(g, limit)
 	if target <= g.Amount {
 		return target, true
 	}
 	g.Amount += min(target-g.Amount, max(0, limit-p.granted(r.Key)))
-	p.grants[gk] = g
+	p.grants[grantKey{g.Key, g.Node}] = g
 	return g.Amount, true
 }
 
+// recoverGrant sets the node's grant in p to the share that it holds, and returns the
+// share that it may enforce, which is not higher. It returns false as updateGrant does.
+func (p Pool) recoverGrant(now clock.Time, from Requester, r Request, limit int64) (int64, bool) {
+	g, ok := p.grantOf(now, from, r)
+	if !ok {
+		return 0, false
+	}
+	g.Amount = r.Holding
+	return min(p.record(g, limit), g.Amount), true
+}
+
+// grantOf returns the grant of the node that sent r, renewed. It returns false if r arrives after a
+// later share request of the node.
+func (p Pool) grantOf(now clock.Time, from Requester, r Request) (Grant, bool) {
+	g := p.grants[grantKey{r.Key, from.Node}]
+	switch {
+	case g.Incarnation > from.Incarnation, g.Incarnation == from.Incarnation && g.Serial >= from.Serial:
+		return Grant{}, false
+	case g.Incarnation < from.Incarnation:
+		g.Amount = 0 // the earlier process of the node has ended
+	}
+	g.Key, g.Node, g.Incarnation, g.Serial = r.Key, from.Node, from.Incarnation, from.Serial
+	g.Demand = r.Demand
+	g.Expires = now.Add(GrantTTL)
+	return g, true
+}
+
+// record stores a grant and returns the target of its node.
+func (p Pool) record(g Grant, limit int64) int64 {
+	p.grants[grantKey{g.Key, g.Node}] = g
+	return p.target(g.Key, g.Node, limit)
+}
+
 // granted returns the sum of the grants of a limit.
 func (p Pool) granted(k Key) int64 {
 	var sum int64
--- a/node/shares.go
+++ b/node/shares.go
@@ -60,7 +60,14 @@
 				return nil, err
 			}
 		}
-		next, shares := applyShareRequest(pool, n, from, req, limits)
+		isRecovering, ok := query(ctx, n, func(c *control) bool {
+			c.enterEra(o.Revision.Era)
+			return c.isRecoveringPools()
+		})
+		if !ok {
+			return nil, ctx.Err()
+		}
+		next, shares := applyShareRequest(pool, n, from, req, limits, isRecovering)
 		var data []byte
 		if data, err = next.Encode(); err != nil {
 			return nil, err
@@ -74,11 +81,14 @@
 
 // applyShareRequest returns the pool after the node's share requests or the release
 // of its shares, and the shares to grant.
-func applyShareRequest(p limit.Pool, n *Node, from string, req *relay.ShareRequest, limits map[limit.Key]int64) (limit.Pool, []limit.Share) {
+func applyShareRequest(p limit.Pool, n *Node, from string, req *relay.ShareRequest, limits map[limit.Key]int64, isRecovering bool) (limit.Pool, []limit.Share) {
 	if req.Release {
 		return p.WithRelease(from), nil
 	}
 	requester := limit.Requester{Node: from, Incarnation: req.Incarnation, Serial: req.Serial}
+	if isRecovering {
+		return p.WithReports(n.cfg.Clock.Now(), requester, req.Requests, limits)
+	}
 	return p.WithRequests(n.cfg.Clock.Now(), requester, req.Requests, limits)
 }
 
