soak: a store that comes back from an older copy, and the versions that nodes miss

Event store-restore copies the store, resets its connections for a second after a while and returns to the copy in the next era; the operator writes its last policy again. Check policy-missed waits for the last acknowledged version at every node, 30 s after the last event. A variant that reads the policy once is found by it.

--- a/internal/load/soak/check.go
+++ b/internal/load/soak/check.go
@@ -38,6 +38,10 @@
 	maxDescriptors = 4100             // open file descriptors of one process
 )
 
+// versionLimit is how long nodes without the last policy version are waited for after
+// the last event. It is far above applyBound, so that load does not matter.
+const versionLimit = 30 * time.Second
+
 // checks lists all checks. Those with isTimed set enforce a time bound and are
 // skipped if the machine is shared with other work.
 var checks = []struct {
@@ -55,6 +59,7 @@
 	{"server-limit", false, (*observations).runsOverLimit},
 	{"server-leave", false, (*observations).runsAfterLeave},
 	{"resources", false, (*observations).resources},
+	{"policy-missed", false, (*observations).missedVersions},
 	{"process-end", false, (*observations).unexpectedExits},
 	{"left-over", false, (*observations).leftOverProcesses},
 	{"drain-bound", true, (*observations).lateRunsAfterDrain},
@@ -350,11 +355,18 @@
 		}
 	}
 	return !slices.ContainsFunc(o.events, func(e Event) bool {
-		affects := e.Node == node && e.Kind != Policy && !e.isServerOperation() || e.Kind == StoreFault || e.Kind == StoreCompact
+		affects := e.Node == node && e.Kind != Policy && !e.isServerOperation() || e.Kind == StoreFault || e.Kind == StoreCompact || e.Kind == StoreRestore
 		return affects && e.At < at && e.At+e.For > at-quietPeriod
 	})
 }
 
+func (o *observations) missedVersions() (found []string) {
+	for _, s := range o.behind {
+		found = append(found, fmt.Sprintf("node %d had policy version %d %s after the last event, but version %d was acknowledged", s.node, s.version, versionLimit, o.lastVersion()))
+	}
+	return found
+}
+
 func (o *observations) lateExits() (found []string) {
 	for _, inc := range o.incarnations {
 		paused := slices.ContainsFunc(o.events, func(e Event) bool {
--- a/internal/load/soak/record.go
+++ b/internal/load/soak/record.go
@@ -70,6 +70,7 @@
 	servers      []*backend.Server // every server that was started
 	events       []Event           // with the actual times
 	unrecovered  []int             // nodes that did not serve requests after the last event
+	behind       []sample          // of nodes that did not get the last version of the policy
 	leftOver     []int             // IDs of processes that did not exit
 }
 
@@ -78,3 +79,14 @@
 	defer r.mu.Unlock()
 	*list = append(*list, v)
 }
+
+// lastVersion returns the last policy version that the store acknowledged.
+func (r *record) lastVersion() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last uint64
+	for _, w := range r.policyWrites {
+		last = max(last, w.version)
+	}
+	return last
+}
--- a/internal/load/soak/run.go
+++ b/internal/load/soak/run.go
@@ -41,6 +41,7 @@
 	// so that late requests are seen.
 	serverLinger = time.Second
 	settleTime   = 500 * time.Millisecond // duration of the traffic after all nodes have recovered
+	storeAbsence = time.Second            // time for which a store that is restored is away
 )
 
 // fleet holds the nodes, the store and the observations of one run.
@@ -55,8 +56,9 @@
 	storeAddress  string
 	metricsClient *http.Client
 
-	policyMu sync.Mutex
-	version  uint64
+	policyMu   sync.Mutex
+	version    uint64
+	lastPolicy []byte // last one that the store acknowledged
 }
 
 func (f *fleet) now() time.Duration { return clock.Since(f.began) }
@@ -103,6 +105,7 @@
 	}
 	f.runEvents(ctx)
 	f.awaitRecovery(ctx)
+	f.awaitVersions(ctx)
 	sleep(ctx, settleTime)
 	f.stopNodes() // clients keep sending until the last process has exited
 	cancel()
@@ -220,6 +223,10 @@
 		f.catalogue.SetFaults(catalogue.Faults{})
 	case StoreCompact:
 		f.catalogue.Compact()
+	case StoreRestore:
+		f.catalogue.Checkpoint()
+		time.Sleep(e.For)
+		f.restoreStore()
 	}
 }
 
@@ -289,6 +296,22 @@
 	}
 }
 
+// awaitVersions waits until every node has the last acknowledged version of the policy,
+// and records the nodes that do not get it within versionLimit.
+func (f *fleet) awaitVersions(ctx context.Context) {
+	want, end := f.record.lastVersion(), f.now()+versionLimit
+	for _, n := range f.nodes {
+		version, _ := n.version()
+		for version < want && f.now() < end && ctx.Err() == nil {
+			sleep(ctx, probePause)
+			version, _ = n.version()
+		}
+		if version < want && ctx.Err() == nil {
+			add(f.record, &f.record.behind, sample{node: n.index, at: f.now(), version: version})
+		}
+	}
+}
+
 // stopNodes stops all processes concurrently and records those that did not exit.
 func (f *fleet) stopNodes() {
 	var all sync.WaitGroup
--- a/internal/load/soak/schedule.go
+++ b/internal/load/soak/schedule.go
@@ -18,19 +18,20 @@
 
 // Kinds of events.
 const (
-	Term         = "term"         // SIGTERM to a node, and a restart after For
-	Kill         = "kill"         // SIGKILL to a node, and a restart after For
-	Pause        = "pause"        // SIGSTOP to a node, and SIGCONT after For
-	Hangup       = "hangup"       // SIGHUP to a node
-	Policy       = "policy"       // the operator writes the next version of the policy
-	ServerDrain  = "server-drain" // a server drains and leaves, and another starts at its address after For
-	ServerLeave  = "server-leave" // a server states in its responses that it leaves, and leaves; another starts at its address after For
-	ServerLimit  = "server-limit" // a server states in its responses that it accepts serverLimit requests per second, for For and limitLength
-	ServerCrash  = "server-crash" // a server crashes, and starts again under the same instance name after For
-	ServerFault  = "server-fault" // a server has the given Fault for the time For
-	Network      = "network"      // the given Connection of a node has the given Fault for the time For
-	StoreFault   = "store-fault"  // the store has the given Fault for the time For
-	StoreCompact = "forget"       // the store compacts its history
+	Term         = "term"          // SIGTERM to a node, and a restart after For
+	Kill         = "kill"          // SIGKILL to a node, and a restart after For
+	Pause        = "pause"         // SIGSTOP to a node, and SIGCONT after For
+	Hangup       = "hangup"        // SIGHUP to a node
+	Policy       = "policy"        // the operator writes the next version of the policy
+	ServerDrain  = "server-drain"  // a server drains and leaves, and another starts at its address after For
+	ServerLeave  = "server-leave"  // a server states in its responses that it leaves, and leaves; another starts at its address after For
+	ServerLimit  = "server-limit"  // a server states in its responses that it accepts serverLimit requests per second, for For and limitLength
+	ServerCrash  = "server-crash"  // a server crashes, and starts again under the same instance name after For
+	ServerFault  = "server-fault"  // a server has the given Fault for the time For
+	Network      = "network"       // the given Connection of a node has the given Fault for the time For
+	StoreFault   = "store-fault"   // the store has the given Fault for the time For
+	StoreCompact = "forget"        // the store compacts its history
+	StoreRestore = "store-restore" // the store goes away after For and comes back as it was before
 )
 
 // Values of Event.Fault and Event.Connection for the kind Network.
@@ -99,7 +100,7 @@
 	for at := meanEventInterval; at < length; at += time.Duration(rng.ExpFloat64() * float64(meanEventInterval)).Truncate(time.Millisecond) {
 		kinds := []string{Term, Hangup, Policy, ServerDrain, Policy, ServerLeave, ServerLimit}
 		if at/phaseLength%2 == 1 {
-			kinds = []string{Term, Kill, Kill, Pause, Hangup, Policy, Policy, ServerDrain, ServerLeave, ServerLimit, ServerCrash, ServerFault, Network, Network, Network, StoreFault, StoreCompact}
+			kinds = []string{Term, Kill, Kill, Pause, Hangup, Policy, Policy, ServerDrain, ServerLeave, ServerLimit, ServerCrash, ServerFault, Network, Network, Network, StoreFault, StoreCompact, StoreRestore}
 		}
 		e := Event{
 			At: at, Kind: pick(rng, kinds...), Node: rng.IntN(nodes),
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -51,6 +51,7 @@
 		"repeats":         nil,
 		"resources":       nil,
 		"process-end":     nil,
+		"policy-missed":   {{At: 500 * time.Millisecond, Kind: Policy}},
 		"drain-bound":     {{At: quietPeriod + 500*time.Millisecond, Kind: ServerDrain, For: 100 * time.Millisecond}},
 		"server-limit":    {{Kind: ServerLimit}},
 		"server-leave":    {{Kind: ServerLeave}},
--- a/internal/load/soak/traffic.go
+++ b/internal/load/soak/traffic.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
 	"github.com/geraniumdock/geraniumdock/platform"
 )
 
@@ -178,9 +179,29 @@
 	if err != nil {
 		return err
 	}
-	if _, err := f.catalogue.Put(context.Background(), "operator", platform.ConfigKind, platform.ConfigName, data, nil, 0, true); err != nil {
+	if err := f.putPolicy(data); err != nil {
 		return err
 	}
+	f.lastPolicy = data
 	add(f.record, &f.record.policyWrites, policyWrite{f.version, f.now()})
 	return nil
 }
+
+func (f *fleet) putPolicy(data []byte) error {
+	_, err := f.catalogue.Put(context.Background(), "operator", platform.ConfigKind, platform.ConfigName, data, nil, 0, true)
+	return err
+}
+
+// restoreStore returns the store to its last copy while it is away. The operator then
+// writes the last acknowledged policy again.
+func (f *fleet) restoreStore() {
+	f.policyMu.Lock()
+	defer f.policyMu.Unlock()
+	f.catalogue.SetFaults(catalogue.Faults{Outage: catalogue.Reset})
+	time.Sleep(storeAbsence)
+	f.catalogue.Rewind()
+	f.catalogue.SetFaults(catalogue.Faults{})
+	for f.putPolicy(f.lastPolicy) != nil {
+		time.Sleep(probePause) // another event has begun
+	}
+}
--- a/internal/load/soak/variant_test.go
+++ b/internal/load/soak/variant_test.go
@@ -89,7 +89,7 @@
 	store := platform.NewStore(v.settings.Store.Address, &http.Transport{})
 	for range time.Tick(50 * time.Millisecond) {
 		e, err := store.Get(context.Background(), platform.ConfigKind, platform.ConfigName)
-		if err != nil || v.violates("apply-bound") && v.version.Load() > 0 {
+		if err != nil || (v.violates("apply-bound") || v.violates("policy-missed")) && v.version.Load() > 0 {
 			continue
 		}
 		p, err := platform.DecodePolicy(e.Value)
