--- a/internal/load/emulator/emulator_test.go
+++ b/internal/load/emulator/emulator_test.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// TestUnlistedServersAreMissed compares servers that nodes know again a second after the
+// store came back without their entries with servers that they drop until the next list.
+func TestUnlistedServersAreMissed(t *testing.T) {
+	is := is.New(t)
+	x := parseExample(t, "restored.yaml")
+	dropped := Run(x)
+	x.Events[0].For = time.Second
+	kept := Run(x)
+	for _, class := range kept.ClassNames() {
+		is.True(kept.Classes[class].InObjective() > dropped.Classes[class].InObjective())
+	}
+	is.True(kept.Worth() > dropped.Worth())
+}
+
 // TestShedRequestsAreRetried has all servers of a service shed 45 in 100 requests
 // for ten seconds, though they have room. Retries of requests that callers repeat
 // themselves are wasted, so with a part of the retries reserved for the others, and
--- a/internal/load/emulator/experiment.go
+++ b/internal/load/emulator/experiment.go
@@ -70,7 +70,7 @@
 
 // Event changes the load or the servers for a limited time.
 type Event struct {
-	Kind    string // Burst, Slow, Fail, Shed, Down, Dark or Limit
+	Kind    string // one of eventKinds
 	At, For time.Duration
 	Factor  float64 // factor on the load or the work; for Fail, the fraction of requests that fail; for Limit, requests per second
 	Service string  // empty for all
@@ -102,9 +102,12 @@
 	Down  = "down"  // makes servers refuse connections if Factor is above 0
 	Dark  = "dark"  // makes servers and their nodes silent if Factor is above 0, as after a loss of power
 	Limit = "limit" // makes servers state in their responses that they accept Factor requests per second
+	// Unlisted makes the other nodes drop servers if Factor is above 0, as when the store
+	// comes back from an older copy without their entries.
+	Unlisted = "unlisted"
 )
 
-var eventKinds = []string{Burst, Slow, Fail, Shed, Down, Dark, Limit}
+var eventKinds = []string{Burst, Slow, Fail, Shed, Down, Dark, Limit, Unlisted}
 
 type wireExperiment struct {
 	Seed            uint64        `yaml:"seed"`
--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -213,7 +213,7 @@
 // chooseNode returns the node to offer the request to next and whether the request
 // may wait there. ok is false if no node is left.
 func (r *request) chooseNode() (record server.Record, mayWait, ok bool) {
-	in, servers := r.ingress, r.ingress.sim.servers[r.class.Service]
+	in, servers := r.ingress, r.ingress.known(r.class.Service)
 	switch in.sim.experiment.Placement {
 	case PlaceRoundRobin:
 		in.nextRoundRobin++
@@ -230,6 +230,13 @@
 	return in.estimates.Next(in.sim.now, r.class.Name, servers, &r.search)
 }
 
+// known returns the servers of a service that the node knows.
+func (n *node) known(service string) []server.Record {
+	return slices.DeleteFunc(slices.Clone(n.sim.servers[service]), func(r server.Record) bool {
+		return r.Node != n.record.Node && n.sim.node(r.Node).faultFactor(Unlisted) > 0
+	})
+}
+
 // clientRefused handles a request that no node accepted: the client repeats
 // it or gives up.
 func (sim *simulator) clientRefused(r *request) {
