--- a/internal/store/object/memory.go
+++ b/internal/store/object/memory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -38,11 +39,18 @@
 	lastRevision gd.Revision // shared by all keys, so that a key's revision also grows when it is written again after a deletion
 	faults       Faults
 	changed      chan struct{} // closed and replaced at each change
+	checkpoint   checkpoint
+}
+
+// checkpoint is a copy of the objects of a Memory.
+type checkpoint struct {
+	objects map[string]gd.Object
+	number  uint64 // of the last change in the copy
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{objects: map[string]gd.Object{}, changed: make(chan struct{})}
+	return &Memory{objects: map[string]gd.Object{}, lastRevision: gd.Revision{Era: 1}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults that are simulated.
@@ -53,6 +61,30 @@
 	m.notifyWatches()
 }
 
+// Checkpoint copies all objects. The copy replaces an earlier one.
+func (m *Memory) Checkpoint() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.checkpoint = checkpoint{maps.Clone(m.objects), m.lastRevision.Number}
+}
+
+// Rewind replaces the objects by the last copy, or by none if there is no copy. The
+// revisions of the changes since are given out again in a new era.
+func (m *Memory) Rewind() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects = maps.Clone(m.checkpoint.objects)
+	if m.objects == nil {
+		m.objects = map[string]gd.Object{}
+	}
+	m.lastRevision = gd.Revision{Era: m.lastRevision.Era + 1, Number: m.checkpoint.number}
+	for key, o := range m.objects {
+		o.Revision.Era = m.lastRevision.Era
+		m.objects[key] = o
+	}
+	m.notifyWatches()
+}
+
 // Counts returns the numbers of calls received so far.
 func (m *Memory) Counts() Counts {
 	return Counts{m.reads.Load(), m.writes.Load(), m.watches.Load()}
@@ -68,7 +100,7 @@
 	defer m.mu.Unlock()
 	o, ok := m.objects[key]
 	if !ok {
-		return gd.Object{}, gd.NotFound.Errorf("no object %s", key)
+		return gd.Object{Revision: gd.Revision{Era: m.lastRevision.Era}}, gd.NotFound.Errorf("no object %s", key)
 	}
 	return o, nil
 }
@@ -84,7 +116,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.objects[key].Revision != ifRevision {
+	if m.objects[key].Revision != ifRevision && !(ifRevision.IsZero() && m.objects[key].Revision.IsZero()) {
 		return gd.Object{}, gd.Conflict.Errorf("object %s is at revision %s, not %s", key, m.objects[key].Revision, ifRevision)
 	}
 	m.lastRevision.Number++
