station: a response to an earlier request does not lift a limit

A response raises or lifts the limit only if its request was sent after the server last stated one. It lowers the limit as before.

TestLimitIsLiftedByTheResponseToAnEarlierRequest failed before (0 != 2).

--- a/internal/proxy/station/notice.go
+++ b/internal/proxy/station/notice.go
@@ -48,13 +48,14 @@
 	limit       float64       // requests per second that the server accepts, if isLimited
 	isLimited   bool          // the last response stated a limit
 	limitedAt   time.Duration // when the server first stated a limit
+	statedAt    time.Duration // when the server last stated a limit
 	invalid     string        // malformed field logged last
 	overLimitAt time.Duration // when ServerOverLimit was logged last
 }
 
-// recordNotices records what the server at which the request was sent states in its
+// recordNotices records what the server to which the request was sent states in its
 // response. A response with status 421 is from another server.
-func (s *Station) recordNotices(id string, sentTo platform.Announcement, res *http.Response) {
+func (s *Station) recordNotices(id string, sentTo platform.Announcement, sent time.Duration, res *http.Response) {
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
@@ -67,7 +68,7 @@
 	if err != nil {
 		s.logInvalid(id, err)
 	} else {
-		s.recordLimit(limit, isLimited)
+		s.recordLimit(sent, limit, isLimited)
 	}
 	s.endAwait()
 	if platform.IsServerLeaving(res) {
@@ -166,10 +167,19 @@
 	s.checkLimit(now)
 }
 
-// recordLimit applies the limit stated in a response, or lifts the limit if the
-// response states none. The caller holds s.mu.
-func (s *Station) recordLimit(limit float64, isLimited bool) {
+// recordLimit applies the limit stated in the response to a request that was sent at the
+// given time, or lifts the limit if the response states none. A response to a request sent
+// before the server last stated a limit may be older than that, so it raises none. The
+// caller holds s.mu.
+func (s *Station) recordLimit(sent time.Duration, limit float64, isLimited bool) {
 	n, now := &s.notices, s.now()
+	isRaise := n.isLimited && (!isLimited || limit > n.limit)
+	if isRaise && sent <= n.statedAt {
+		return
+	}
+	if isLimited {
+		n.statedAt = now
+	}
 	if isLimited == n.isLimited && limit == n.limit {
 		return
 	}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -294,6 +294,7 @@
 // or when the body of a streamed response is closed.
 func (s *Station) exchange(ctx context.Context, id uint64, r request.Request, sentTo platform.Announcement) request.Result {
 	req := s.outgoingRequest(ctx, r, sentTo.Instance)
+	sent := s.now()
 	result := s.pool.Do(ctx, pool.Request{Request: req, Target: r.Target, ID: r.ID, Idempotent: r.Idempotent})
 	if result.Err != nil {
 		s.recordFailure(ctx, id, result)
@@ -301,7 +302,7 @@
 		return request.Failed(result.Err, result.Reached)
 	}
 	res := result.Response
-	s.recordNotices(r.ID, sentTo, res)
+	s.recordNotices(r.ID, sentTo, sent, res)
 	prefix, complete, err := body.ReadPrefix(res)
 	if err != nil {
 		s.recordOutcome(false)
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -234,3 +234,33 @@
 	is.Equal(s.link.backlog(), time.Duration(0))
 	is.Equal(len(s.link.sem), 0)
 }
+
+func TestLimitIsLiftedByTheResponseToAnEarlierRequest(t *testing.T) {
+	is := is.New(t)
+	clk := &clock.Fake{}
+	s, _ := newStationAt(t, clk)
+	at := func(d time.Duration) time.Duration { return s.now() + d }
+	response := func(perSecond float64) *http.Response {
+		res := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
+		if perSecond > 0 {
+			platform.SetServerLimit(res.Header, perSecond)
+		}
+		return res
+	}
+	clk.Advance(time.Second)
+	early := s.now()
+	clk.Advance(time.Second)
+	s.recordNotices("limited", announcement(1, 1), at(0), response(2))
+	s.recordNotices("late", announcement(1, 1), early, response(0))
+	is.Equal(s.Limit(), 2.0)
+	s.recordNotices("late and higher", announcement(1, 1), early, response(4))
+	is.Equal(s.Limit(), 2.0)
+	s.recordNotices("late and lower", announcement(1, 1), early, response(1))
+	is.Equal(s.Limit(), 1.0)
+	clk.Advance(time.Millisecond)
+	s.recordNotices("later and higher", announcement(1, 1), at(0), response(4))
+	is.Equal(s.Limit(), 4.0)
+	clk.Advance(time.Millisecond)
+	s.recordNotices("later", announcement(1, 1), at(0), response(0))
+	is.Equal(s.Limit(), 0.0)
+}
