claim: a claims object that cannot be decoded is not overwritten

A writer marked the partition as known before it had decoded it, so its next attempt wrote the claim over an object that it could not read, and all claims of that partition were gone (noticed earlier when the package was read). Claims of such a partition are refused, not run, as long as it is so.

TestClaimsThatCannotBeDecodedAreOverwritten failed before.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -235,6 +235,23 @@
 	}
 }
 
+func TestClaimsThatCannotBeDecodedAreOverwritten(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := object.NewMemory()
+	k := keysOfOnePartition(1)[0]
+	damaged := []byte("no claims")
+	_, err := m.Put(ctx, keyPrefix+"s/0", damaged, gd.Revision{})
+	is.NoErr(err)
+	w := NewWriter(m, clock.System{}, Holder{"n", 1}, writesPerSecond)
+	defer w.Close()
+	_, _, err = w.Claim(ctx, "s", k)
+	is.True(gd.ClaimsUnavailable.Is(err))
+	o, err := m.Get(ctx, keyPrefix+"s/0")
+	is.NoErr(err)
+	is.Equal(o.Value, damaged)
+}
+
 func TestOutageRefusesClaims(t *testing.T) {
 	is := is.New(t)
 	m := object.NewMemory()
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -202,15 +202,14 @@
 	if err != nil && !gd.NotFound.Is(err) {
 		return err
 	}
-	b.revision, b.known = o.Revision, true
-	if o.Revision.IsZero() {
-		return nil
-	}
-	stored, err := Decode(o.Value)
-	if err != nil {
-		return err
+	if !o.Revision.IsZero() {
+		stored, err := Decode(o.Value)
+		if err != nil {
+			return err
+		}
+		b.current = stored.WithClaimsOf(b.current)
 	}
-	b.current = stored.WithClaimsOf(b.current)
+	b.revision, b.known = o.Revision, true
 	return nil
 }
 
