node: a grant is checked again before the call is sent

A process that was paused between the grant of a slot (or while it waited for a claim) and the send sent the call afterwards, past its deadline, to a server that drained or to one of another service at the address.

The scheduler checks deadline and announcement under its lock before the exchange and refuses the call otherwise, not run.

TestCallIsSentOnAGrantThatAPauseOutlasted: all four cases failed before.

--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -329,9 +329,27 @@
 		s.releaseSlot(id)
 		return nil, err
 	}
+	if err := s.checkGrant(c); err != nil {
+		s.releaseSlot(id)
+		return nil, err
+	}
 	return s.exchange(ctx, c, row, id)
 }
 
+// checkGrant returns an error if a call that has a slot must not be sent any more. The
+// process may have been paused since the slot was granted.
+func (s *scheduler) checkGrant(c *call) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.now() >= c.deadline:
+		return gd.DeadlineUnreachable.Errorf("the deadline passed before the call was sent to the server")
+	case s.announced.Draining, !s.announcementValid(), s.announced.Service != c.service:
+		return gd.Draining.Errorf("service %s has no server beside node %s any more", c.service, s.n.name)
+	}
+	return nil
+}
+
 // awaitClaim waits for the result of the claim, if there is one.
 func awaitClaim(ctx context.Context, claimed <-chan error) error {
 	if claimed == nil {
