--- a/internal/store/object/platform_test.go
+++ b/internal/store/object/platform_test.go
@@ -183,6 +183,31 @@
 	is.Equal(string(o.Value), "2")
 }
 
+// TestMissingObjectStatesTheEra reads an object that does not exist before and after the
+// store was restored.
+func TestMissingObjectStatesTheEra(t *testing.T) {
+	c, platformStore := newCatalogueStore(t)
+	c.Checkpoint()
+	m := NewMemory()
+	for name, s := range map[string]struct {
+		store  gd.Store
+		rewind func()
+	}{"memory": {m, m.Rewind}, "platform": {platformStore, c.Rewind}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			before, err := s.store.Get(context.Background(), "table/head")
+			is.True(gd.NotFound.Is(err))
+			is.True(before.Revision.IsZero())
+			s.rewind()
+			after, err := s.store.Get(context.Background(), "table/head")
+			is.True(gd.NotFound.Is(err))
+			is.Equal(after.Revision, gd.Revision{Era: before.Revision.Era + 1})
+			_, err = s.store.Put(context.Background(), "table/head", []byte("1"), after.Revision)
+			is.NoErr(err)
+		})
+	}
+}
+
 // TestListFiltersByPrefix lists one prefix among objects of several prefixes and kinds.
 func TestListFiltersByPrefix(t *testing.T) {
 	is := is.New(t)
