--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -276,6 +276,9 @@
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		err := r.cfg.Catalogue.Delete(ctx, r.cfg.ServerKind, rec.Node, revision)
+		if gd.NotFound.Is(err) {
+			return // another node has deleted it
+		}
 		if err != nil {
 			r.cfg.Log.Warn(event.PublishFailed, "entry", rec.Node, "error", gd.Message(err))
 			return
