--- a/internal/fleet/roster/restored_test.go
+++ b/internal/fleet/roster/restored_test.go
@@ -205,7 +205,7 @@
 	is.NoErr(err)
 	s.merge([]server.Record{peer}, "another")
 	clk.Advance(time.Minute)
-	s.mergeList(serverList{asked: clk.Monotonic()}) // the store has come back without the entry
+	s.mergeList(serverList{asked: clk.Monotonic()}) // the restored store lacks the entry
 	clk.Advance(time.Minute)
 	s.expire()
 	is.Equal(len(s.directory.Serving()["shop"]), 1)
--- a/internal/load/emulator/experiment.go
+++ b/internal/load/emulator/experiment.go
@@ -103,7 +103,7 @@
 	Dark  = "dark"  // makes servers and their nodes silent if Factor is above 0, as after a loss of power
 	Limit = "limit" // makes servers state in their responses that they accept Factor requests per second
 	// Unlisted makes the other nodes drop servers if Factor is above 0, as when the store
-	// comes back from an older copy without their entries.
+	// is restored from an older copy that lacks their entries.
 	Unlisted = "unlisted"
 )
 
--- a/internal/load/soak/schedule.go
+++ b/internal/load/soak/schedule.go
@@ -31,7 +31,7 @@
 	Network      = "network"       // the given Connection of a node has the given Fault for the time For
 	StoreFault   = "store-fault"   // the store has the given Fault for the time For
 	StoreCompact = "forget"        // the store compacts its history
-	StoreRestore = "store-restore" // the store goes away after For and comes back as it was before
+	StoreRestore = "store-restore" // the store goes away after For and is restored as it was before
 )
 
 // Values of Event.Fault and Event.Connection for the kind Network.
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -36,7 +36,7 @@
 	StoreRegained       = "store-regained"
 	StoreHistoryLost    = "store-history-lost"
 	StoreListed         = "store-listed"
-	StoreRestored       = "store-restored" // the store has come back from an older copy
+	StoreRestored       = "store-restored" // the store was restored from an older copy
 	ExchangeFailed      = "exchange-failed"
 	RequestsSuspected   = "requests-suspected"
 )
