Show that an acknowledged leave is lost with the processes that know it

Case 4 of review/: a server leaves while the store is down, and all processes are killed before the store is back. The next process takes the server for up by the entry in the store.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,8 +27,9 @@
 type scenario func(f *fleet, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"poisoned-client": poisonedClient,
-	"poisoned-answer": poisonedAnswer,
+	"left-while-store-down": leftWhileStoreDown,
+	"poisoned-client":       poisonedClient,
+	"poisoned-answer":       poisonedAnswer,
 }
 
 func main() {
