Show that machines removed without notice keep versions from the others

Case 2 of review/: six machines are replaced seven times, the old ones without SIGTERM. Their entries stay in the store and in the directories, and the nodes that live ask and tell mostly those. Rule CONFIG, in a calm deployment.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 type scenario func(f *fleet, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
+	"machines-removed":      machinesRemoved,
 	"left-while-store-down": leftWhileStoreDown,
 	"poisoned-client":       poisonedClient,
 	"poisoned-answer":       poisonedAnswer,
