--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,7 +1,8 @@
-// Command standin plays the cases of the review: it starts the project's node program
+// Package standin plays the cases of the review: it starts the project's node program
 // as separate processes beside stand-ins of the platform's store, of servers and of
-// clients, and judges only what these have seen.
-package main
+// clients, and judges only what these have seen. It consists of test files, which may use
+// the platform's names, and is built with go test -c.
+package standin
 
 import (
 	"errors"
@@ -9,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -31,11 +33,15 @@
 	"left-while-store-down": leftWhileStoreDown,
 	"poisoned-client":       poisonedClient,
 	"poisoned-answer":       poisonedAnswer,
+	"heads-after-restart":   headsAfterRestart,
+	"shared-path":           sharedPath,
 }
 
-func main() {
+// TestMain plays the case named by the first argument, with the program and the record
+// file that the other two name.
+func TestMain(*testing.M) {
 	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE PROGRAM RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE PROGRAM RECORD")
 		os.Exit(exitNotRun)
 	}
 	play, ok := scenarios[os.Args[1]]
--- a/review/standin/poison.go
+++ b/review/standin/poison_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"context"
@@ -18,6 +18,7 @@
 	poisonEvery    = 700 * time.Millisecond
 	poisonSpan     = 40 * time.Second
 	poisonDenials  = 3 // retries that may reach a server after the third crash
+	poisonBody     = "poison"
 	poisonPath     = "/shop/poison"
 	poisonCallers  = 3 // machines of the first service
 )
@@ -108,8 +109,8 @@
 		return err
 	}
 	var once sync.Once
-	m.server.handle = func(w http.ResponseWriter, r *http.Request, id string) bool {
-		if !strings.HasPrefix(r.URL.Path, poisonPath) {
+	m.server.handle = func(w http.ResponseWriter, r *http.Request, id, body string) bool {
+		if !strings.HasPrefix(r.URL.Path, poisonPath) && body != poisonBody {
 			return false
 		}
 		p.mu.Lock()
--- a/review/standin/server.go
+++ b/review/standin/server_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"bytes"
@@ -40,7 +40,7 @@
 	born     int64
 	work     time.Duration
 	http     *http.Server
-	handle   func(http.ResponseWriter, *http.Request, string) bool // answers a request in its own way and returns true
+	handle   func(w http.ResponseWriter, r *http.Request, id, body string) bool // answers a request in its own way and returns true
 
 	mu         sync.Mutex
 	isLeaving  bool // reported, and stated in all answers
@@ -89,7 +89,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.handle != nil && s.handle(w, r, id) {
+	if s.handle != nil && s.handle(w, r, id, string(data)) {
 		return
 	}
 	select {
