--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -30,6 +30,7 @@
 
 var scenarios = map[string]scenario{
 	"machines-removed":      machinesRemoved,
+	"machines-retired":      machinesRetired,
 	"left-while-store-down": leftWhileStoreDown,
 	"poisoned-client":       poisonedClient,
 	"poisoned-answer":       poisonedAnswer,
