Report requests that crash servers in mid-answer or after their clients left

Cause: only an exchange that broke before the head of the response counted as in flight at a crash. One that broke in the body, or whose connection the station had closed itself because the client left or the deadline passed, was forgotten, and no probe looked for the crash. One class: what the server may still work on was taken to end with the exchange.

Now a station keeps each request that has ended for as long as a crash may be due to it: interrupted ones for 2 s, abandoned ones until 2 s after the deadline that the server knows, complete ones for 0.5 s, and those still running. While there are any, an idle connection that the server closes starts a probe, so that a crash is found without other traffic; a new start without a leave counts as a crash too. A probe that times out does not mark the server as down. The gauge geraniumdock_reported_crashes shows the reports.

--- a/internal/http1/pool/pool.go
+++ b/internal/http1/pool/pool.go
@@ -98,6 +98,23 @@
 	return err
 }
 
+// CheckIdle checks the idle connection that was used last. It reports whether there is one,
+// and whether the server has closed it, in which case it is removed.
+func (p *Pool) CheckIdle() (open, closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return false, false
+	}
+	last := len(p.idle) - 1
+	if c := p.idle[last]; !c.isReusable() {
+		c.nc.Close()
+		p.idle = p.idle[:last]
+		return false, true
+	}
+	return true, false
+}
+
 // get returns a reusable idle connection or opens a new one.
 func (p *Pool) get(ctx context.Context, idempotent bool) (*conn, error) {
 	for {
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -204,6 +204,7 @@
 		return (s.cfg.Clock.Monotonic() - snapshot.PolicySince).Seconds()
 	})
 	m.Gauge("geraniumdock_nodes", func() float64 { return float64(s.roster.Snapshot().Nodes()) })
+	m.Gauge("geraniumdock_reported_crashes", func() float64 { return float64(s.Crashes()) })
 	m.Gauge("geraniumdock_client_connections", func() float64 { return float64(s.clientServer.Connections()) })
 	m.Gauge("geraniumdock_server_connections_opened", func() float64 { return float64(s.station.Opened()) })
 	m.Gauge("geraniumdock_slots_used", func() float64 { return float64(s.station.Load().Running) })
@@ -257,6 +258,10 @@
 	return version, servers
 }
 
+// Crashes returns the number of crashes of servers that are reported with the requests
+// which may have caused them.
+func (s *Sidecar) Crashes() int { return s.roster.Snapshot().Register.CrashCount() }
+
 // Start starts serving and returns at once.
 func (s *Sidecar) Start() {
 	root := suture.New("sidecar", suture.Spec{EventHook: func(e suture.Event) {
--- a/internal/proxy/station/crash.go
+++ b/internal/proxy/station/crash.go
@@ -1,90 +1,218 @@
 package station
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"net"
+	"slices"
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
-// recordFailure records a failed exchange with the server. If the request may have
-// reached the server, it counts as interrupted and the server is probed. Otherwise
-// the server is marked as down.
-func (s *Station) recordFailure(ctx context.Context, id uint64, result pool.Result) {
+const (
+	// crashWindow is the time after an interrupted request, or after the deadline of an
+	// abandoned one, within which a refused connection counts as a crash due to it.
+	crashWindow = 2 * time.Second
+	// settleTime is the time after a complete response within which a crash may be due
+	// to its request. A request that crashes a server does so while it runs or soon after.
+	settleTime  = 500 * time.Millisecond
+	maxSuspects = 64 // requests reported for one crash
+	// probeDelay is the time from an interrupted request to the probe of the server.
+	probeDelay = 20 * time.Millisecond
+)
+
+// ending is how an exchange with the server ended. Of the suspects of a crash, those
+// with the lower ending are reported first.
+type ending int
+
+const (
+	interrupted ending = iota // the server closed the connection
+	abandoned                 // the station closed the connection, and the server may work on
+	completed                 // the request and the response were transferred completely
+)
+
+// exchanged is a request that has been sent to the server.
+type exchanged struct {
+	fingerprint quarantine.Fingerprint
+	sentTo      platform.Announcement
+	deadline    time.Duration // monotonic time until which the server works on it
+}
+
+// suspect is a request that has ended, and to which a crash of the server may be due
+// until the monotonic time until.
+type suspect struct {
+	fingerprint quarantine.Fingerprint
+	ending      ending
+	until       time.Duration
+}
+
+// recordFailure records a failed exchange with the server. If the request has reached
+// the server, it is a suspect and the server is probed. Otherwise the server is marked as
+// down.
+func (s *Station) recordFailure(ctx context.Context, x exchanged, result pool.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if ctx.Err() != nil {
+		if result.Reached {
+			s.addSuspect(x, abandoned)
+		}
+		return
+	}
+	s.failureRate += failureRateSmoothing * (1 - s.failureRate)
+	if !result.Reached {
+		s.markDown(s.now(), result.Err)
 		return
 	}
+	s.addSuspect(x, interrupted)
+	s.startProbe()
+}
+
+// recordEnding records how an exchange ended after the head of the response.
+func (s *Station) recordEnding(x exchanged, e ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.addSuspect(x, e)
+	if e == interrupted {
+		s.startProbe()
+	}
+}
+
+// addSuspect adds a request that has ended to the suspects, unless the server that it was
+// sent to is down or has been replaced. The caller holds s.mu.
+func (s *Station) addSuspect(x exchanged, e ending) {
+	if s.state != server.Up || s.server.Instance != x.sentTo.Instance || s.server.Started != x.sentTo.Started {
+		return
+	}
 	now := s.now()
-	s.failureRate += failureRateSmoothing * (1 - s.failureRate)
-	if result.Reached {
-		if now-s.interruptedAt > crashWindow {
-			s.interrupted = nil
-		}
-		if len(s.interrupted) < maxSuspects {
-			s.interrupted = append(s.interrupted, s.inFlight[id])
-		}
-		s.interruptedAt = now
-		if !s.probing {
-			s.probing = true
-			s.tasks.Go(s.probe)
-		}
+	until := now + crashWindow
+	switch e {
+	case abandoned:
+		until = max(now, x.deadline) + crashWindow
+		s.unwatched = true
+	case completed:
+		until = now + settleTime
+	}
+	s.suspects = append(s.suspects, suspect{x.fingerprint, e, until})
+}
+
+// pruneSuspects drops the suspects to which a crash at now could not be due any more. The
+// caller holds s.mu.
+func (s *Station) pruneSuspects(now time.Duration) {
+	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool { return now > x.until })
+}
+
+// watchSuspects checks whether the server still runs while there are suspects: an idle
+// connection that the server has closed may be the only sign of a crash. After a request
+// was abandoned at an otherwise idle server without such a connection, it opens one.
+// The caller holds s.mu.
+func (s *Station) watchSuspects() {
+	s.pruneSuspects(s.now())
+	if len(s.suspects) == 0 || s.state != server.Up {
 		return
 	}
-	s.markDown(now, result.Err)
+	open, closed := s.pool.CheckIdle()
+	if closed || !open && s.unwatched && s.queue.Running() == 0 {
+		s.startProbe()
+	}
+	s.unwatched = false
 }
 
-// probeDelay is the time from an interrupted request to the probe of the server.
-const probeDelay = 20 * time.Millisecond
+// startProbe starts a probe unless one is running. The caller holds s.mu.
+func (s *Station) startProbe() {
+	if !s.probing {
+		s.probing = true
+		s.tasks.Go(s.probe)
+	}
+}
 
 // probe checks whether the server still accepts connections, so that a crash is
-// detected before another request is sent.
+// detected before another request is sent. A timeout does not show that it is down.
 func (s *Station) probe() {
 	time.Sleep(probeDelay)
 	err := s.pool.Probe(context.Background())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.probing = false
-	if gd.NoServer.Is(err) {
+	timeout, ok := errors.AsType[net.Error](err)
+	if gd.NoServer.Is(err) && !(ok && timeout.Timeout()) {
 		s.markDown(s.now(), err)
 	}
 }
 
 // markDown marks the server as lost until its next announcement, refuses the queued
-// requests, and reports the interrupted ones. The caller holds s.mu.
+// requests, and reports the suspects. The caller holds s.mu.
 func (s *Station) markDown(now time.Duration, cause error) {
 	if s.state != server.Up {
 		return
 	}
+	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", errorText(cause), "running", len(s.running))
+	s.reportCrash(now)
 	s.state = server.Lost
-	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", errorText(cause), "cut", len(s.interrupted))
 	for _, it := range s.queue.Clear() {
 		s.refuse(it.ID, gd.WrongInstance.Errorf("the server beside node %s is down", s.cfg.Node))
 	}
-	s.reportCrash(now)
 	s.publishRecord()
 }
 
-// reportCrash reports the interrupted requests as suspects if the last of them was
-// interrupted within crashWindow. The caller holds s.mu.
+// reportCrash reports the requests to which a crash of the server may be due: the
+// suspects and the requests that are still running. The caller holds s.mu.
 func (s *Station) reportCrash(now time.Duration) {
-	if len(s.interrupted) == 0 || now-s.interruptedAt > crashWindow {
+	for _, x := range s.running {
+		s.addSuspect(x, interrupted)
+	}
+	s.pruneSuspects(now)
+	suspects := rankSuspects(s.suspects)
+	s.suspects = nil
+	if len(suspects) == 0 {
 		return
 	}
+	atEnd := 0 // suspects that may have been at the server when it crashed
+	for _, x := range suspects {
+		if x.ending != completed {
+			atEnd++
+		}
+	}
 	s.crashes++
-	reports := make([]quarantine.Report, 0, len(s.interrupted))
-	for _, fp := range s.interrupted {
+	at := s.cfg.Clock.Now()
+	var reports []quarantine.Report
+	for _, x := range suspects[:min(len(suspects), maxSuspects)] {
 		reports = append(reports, quarantine.Report{
-			Fingerprint: fp, Node: s.cfg.Node, Incarnation: uint64(s.server.Started) + s.crashes,
-			At: s.cfg.Clock.Now(), Alone: len(s.interrupted) == 1,
+			Fingerprint: x.fingerprint, Node: s.cfg.Node, Incarnation: uint64(s.server.Started) + s.crashes, At: at,
+			Alone: atEnd == 1 && x.ending != completed || len(suspects) == 1,
 		})
 	}
-	s.interrupted = nil
-	s.cfg.Log.Warn(event.RequestsSuspected, "instance", s.server.Instance, "requests", len(reports))
+	s.cfg.Log.Warn(event.RequestsSuspected, "instance", s.server.Instance, "requests", len(reports),
+		"at-server", atEnd, "completed", len(suspects)-atEnd, "alone", reports[0].Alone)
 	s.cfg.Report(reports)
 }
+
+// rankSuspects returns one suspect for each fingerprint, ordered by ending and then by
+// age, the most recent first.
+func rankSuspects(list []suspect) []suspect {
+	ranked := slices.Clone(list)
+	slices.Reverse(ranked)
+	slices.SortStableFunc(ranked, func(a, b suspect) int { return cmp.Compare(a.ending, b.ending) })
+	seen := map[quarantine.Fingerprint]bool{}
+	return slices.DeleteFunc(ranked, func(x suspect) bool {
+		known := seen[x.fingerprint]
+		seen[x.fingerprint] = true
+		return known
+	})
+}
+
+// deadlineOf returns the monotonic time of the deadline of ctx.
+func (s *Station) deadlineOf(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return s.now()
+	}
+	return s.now() - clock.Since(deadline)
+}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
@@ -196,7 +197,6 @@
 	}
 	granted := make(chan error, 1)
 	s.waiting[it.ID] = granted
-	s.inFlight[it.ID] = r.Fingerprint
 	s.startQueued()
 	return it.ID, granted, request.Result{}
 }
@@ -256,9 +256,6 @@
 func (s *Station) awaitSlot(ctx context.Context, id uint64, granted <-chan error) error {
 	select {
 	case err := <-granted:
-		if err != nil {
-			s.removeInFlight(id)
-		}
 		return err
 	case <-ctx.Done():
 	}
@@ -269,24 +266,16 @@
 	if !wasQueued {
 		s.releaseSlot(id, false)
 	}
-	s.removeInFlight(id)
 	return gd.DeadlineUnreachable.Errorf("the request was canceled or timed out while it waited for a slot")
 }
 
-// removeInFlight removes a request from those to report if the server crashes.
-func (s *Station) removeInFlight(id uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.inFlight, id)
-}
-
 // releaseSlot frees the request's slot for the next one. If complete is set, the
 // request ran to its end and its duration counts for the mean slot time.
 func (s *Station) releaseSlot(id uint64, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Done(s.now(), id, complete)
-	delete(s.inFlight, id)
+	delete(s.running, id)
 	s.startQueued()
 }
 
@@ -294,43 +283,108 @@
 // or when the body of a streamed response is closed.
 func (s *Station) exchange(ctx context.Context, id uint64, r request.Request, sentTo platform.Announcement) request.Result {
 	req := s.outgoingRequest(ctx, r, sentTo.Instance)
+	var sentBody *trackedBody
+	if req.Body != nil && req.Body != http.NoBody {
+		sentBody = &trackedBody{ReadCloser: req.Body}
+		req.Body = sentBody
+	}
+	x := exchanged{r.Fingerprint, sentTo, s.deadlineOf(ctx)}
+	s.beginExchange(id, x)
 	sent := s.now()
 	result := s.pool.Do(ctx, pool.Request{Request: req, Target: r.Target, ID: r.ID, Idempotent: r.Idempotent})
 	if result.Err != nil {
-		s.recordFailure(ctx, id, result)
+		s.recordFailure(ctx, x, result)
 		s.releaseSlot(id, false)
 		return request.Failed(result.Err, result.Reached)
 	}
 	res := result.Response
 	s.recordNotices(r.ID, sentTo, sent, res)
+	responseBody := &trackedBody{ReadCloser: res.Body}
+	res.Body = responseBody
+	ended := func() { s.recordEnding(x, endingOf(ctx, sentBody, responseBody)) }
 	prefix, complete, err := body.ReadPrefix(res)
+	if err == nil {
+		err = checkResponse(res)
+	}
 	if err != nil {
 		s.recordOutcome(false)
 		res.Body.Close()
+		ended()
 		s.releaseSlot(id, false)
-		if ctx.Err() != nil {
-			return request.Failed(gd.TimedOut.Wrapf(ctx.Err(), "the request timed out before the server's response was complete"), true)
-		}
-		return request.Failed(gd.Unknown.Wrapf(err, "the server's response ended early"), true)
+		return failedResponse(ctx, responseBody, err)
 	}
 	a := request.Result{Response: res, Reached: true, Shed: platform.IsNotRun(res)}
-	if err := checkResponse(res); err != nil {
-		s.recordOutcome(false)
-		res.Body.Close()
-		s.releaseSlot(id, false)
-		return request.Failed(err, true)
-	}
 	s.recordOutcome(res.StatusCode < http.StatusInternalServerError)
 	if complete {
 		res.Body.Close()
+		ended()
 		body.SetBody(res, prefix)
 		s.releaseSlot(id, res.StatusCode < http.StatusInternalServerError)
 		return a
 	}
-	res.Body = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), res.Body), body: res.Body, releaseSlot: func() { s.releaseSlot(id, true) }}
+	onClose := func() {
+		ended()
+		s.releaseSlot(id, true)
+	}
+	res.Body = &streamedBody{Reader: io.MultiReader(bytes.NewReader(prefix), res.Body), body: res.Body, onClose: onClose}
 	return a
 }
 
+// beginExchange records that the request runs on the server.
+func (s *Station) beginExchange(id uint64, x exchanged) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[id] = x
+}
+
+// failedResponse returns the result of an exchange whose response is not forwarded because
+// of err.
+func failedResponse(ctx context.Context, responseBody *trackedBody, err error) request.Result {
+	switch {
+	case !responseBody.hasFailed():
+		return request.Failed(err, true)
+	case ctx.Err() != nil:
+		return request.Failed(gd.TimedOut.Wrapf(ctx.Err(), "the request timed out before the server's response was complete"), true)
+	}
+	return request.Failed(gd.Unknown.Wrapf(err, "the server's response ended early"), true)
+}
+
+// endingOf returns how an exchange ended whose response was read until it ended, failed or
+// was closed.
+func endingOf(ctx context.Context, sentBody, responseBody *trackedBody) ending {
+	switch {
+	case responseBody.hasFailed() && ctx.Err() == nil:
+		return interrupted
+	case !responseBody.isComplete() || sentBody != nil && !sentBody.isComplete():
+		return abandoned
+	}
+	return completed
+}
+
+// trackedBody records how the reads of a body ended.
+type trackedBody struct {
+	io.ReadCloser
+	complete, failed atomic.Bool
+}
+
+// Read reads the body.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		b.complete.Store(true)
+	case err != nil:
+		b.failed.Store(true)
+	}
+	return n, err
+}
+
+// isComplete reports whether the body was read to its end.
+func (b *trackedBody) isComplete() bool { return b.complete.Load() }
+
+// hasFailed reports whether a read failed.
+func (b *trackedBody) hasFailed() bool { return b.failed.Load() }
+
 // checkResponse returns an error for a response that cannot be the server's own: a
 // successful one without the server's signature, or one with a content encoding.
 func checkResponse(res *http.Response) error {
@@ -346,19 +400,19 @@
 // streamedBody is the body of a response that is forwarded while it arrives.
 type streamedBody struct {
 	io.Reader
-	body        io.Closer
-	releaseSlot func()
-	done        bool
+	body    io.Closer
+	onClose func() // called once
+	done    bool
 }
 
-// Close closes the body and frees the slot.
+// Close closes the body and calls onClose.
 func (b *streamedBody) Close() error {
 	if b.done {
 		return nil
 	}
 	b.done = true
 	err := b.body.Close()
-	b.releaseSlot()
+	b.onClose()
 	return err
 }
 
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -28,10 +28,6 @@
 	queuedDrainShare     = 0.5
 	expireInterval       = 50 * time.Millisecond
 	failureRateSmoothing = 0.1 // weight of the newest outcome in the failure rate
-	// crashWindow is the time after an interrupted request within which a
-	// refused connection counts as a crash of the server.
-	crashWindow = 2 * time.Second
-	maxSuspects = 64 // requests reported for one crash
 )
 
 // Config configures a Station.
@@ -77,9 +73,9 @@
 	failureRate   float64
 	lastID        uint64
 	waiting       map[uint64]chan error // by request; receives nil when a slot is granted
-	inFlight      map[uint64]quarantine.Fingerprint
-	interrupted   []quarantine.Fingerprint // in flight when their connections broke
-	interruptedAt time.Duration
+	running       map[uint64]exchanged  // by request
+	suspects      []suspect
+	unwatched     bool // a request was abandoned since the last call of watchSuspects
 	crashes       uint64
 	probing       bool // a probe is running
 	awaited       awaited
@@ -100,7 +96,7 @@
 		queue:      admission.New(1),
 		state:      server.Lost,
 		waiting:    map[uint64]chan error{},
-		inFlight:   map[uint64]quarantine.Fingerprint{},
+		running:    map[uint64]exchanged{},
 		startTimer: stoppedTimer(),
 		startedAt:  cfg.Clock.Monotonic(),
 		startTime:  cfg.Clock.Now(),
@@ -160,6 +156,10 @@
 	a.Draining = a.Draining || !isNew && s.server.Draining
 	previous := s.state
 	if isNew {
+		if previous == server.Up {
+			s.reportCrash(s.now()) // the server was replaced without a notice
+		}
+		s.suspects = nil
 		s.failureRate, s.notices = 0, notices{}
 		s.queue.RemoveLimit()
 		s.awaited = awaited{isPending: s.isOlderThanProcess(a.Started)}
@@ -307,6 +307,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.widen()
+	s.watchSuspects()
 	for _, it := range s.queue.Expire(s.now()) {
 		s.refuse(it.ID, it.Refusal.Error())
 	}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +35,23 @@
 	WrongContentEncoding bool // responses have a Content-Encoding header, although their bodies are not encoded
 }
 
+// CrashPoint is when a server crashes that runs a request in CrashPath.
+type CrashPoint int
+
+// The points at which a server crashes.
+const (
+	BeforeResponse CrashPoint = iota
+	InResponse                // after a part of the response that a node does not forward yet
+	InStream                  // after a part of the response that a node forwards
+	AfterResponse             // soon after the complete response
+	AfterCancel               // after its client has disconnected
+	InRequest                 // before it has read the body of the request
+)
+
+// CrashPath is the part of a path that marks the requests which crash servers with
+// CrashAt set.
+const CrashPath = "crash"
+
 // Run describes a request that the server started to run.
 type Run struct {
 	ID, Method, Target, Caller, Body string
@@ -50,6 +69,7 @@
 	WorkTime         time.Duration // running time of a request
 	AnnounceInterval time.Duration // interval between announcements; 0 disables the periodic ones
 	NodeAddress      string        // address at which the node accepts announcements
+	CrashAt          *CrashPoint   // requests whose path contains CrashPath crash the server
 	// Advertised is the address that the server announces, such as that of a
 	// proxy in front of it. If empty, the server announces its own address.
 	Advertised string
@@ -291,6 +311,10 @@
 		return
 	}
 	defer s.release()
+	if s.CrashAt != nil && strings.Contains(r.URL.Path, CrashPath) {
+		s.crashOn(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the caller disconnected
@@ -307,6 +331,45 @@
 	s.respond(w, id, body, faults)
 }
 
+// Sizes of the responses during which a server crashes: a node forwards the larger one
+// before it is complete.
+const (
+	smallResponseBytes = 2_000
+	largeResponseBytes = 400_000
+	crashDelay         = 30 * time.Millisecond // from the last bytes of a response, or from the client's leaving, to the crash
+)
+
+// crashOn runs the request and crashes at s.CrashAt.
+func (s *Server) crashOn(w http.ResponseWriter, r *http.Request, id string) {
+	var body []byte
+	if *s.CrashAt != InRequest {
+		body, _ = io.ReadAll(r.Body) // the server runs the request in any case
+	}
+	s.recordRun(id, r, string(body))
+	length, sent := 0, 0
+	switch *s.CrashAt {
+	case InResponse:
+		length, sent = smallResponseBytes, smallResponseBytes/4
+	case InStream:
+		length, sent = largeResponseBytes, largeResponseBytes/2
+	case AfterResponse:
+		length, sent = smallResponseBytes, smallResponseBytes
+	case AfterCancel:
+		<-r.Context().Done()
+	}
+	if sent > 0 {
+		h := w.Header()
+		platform.SetSignature(h, "seal-of-"+s.Instance)
+		h.Set("Content-Length", strconv.Itoa(length))
+		_, _ = w.Write(make([]byte, sent))        // the node may have closed the connection
+		_ = http.NewResponseController(w).Flush() // likewise
+	}
+	time.Sleep(crashDelay)
+	s.cancel()
+	s.httpServer.Close()
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Server) recordRun(id string, r *http.Request, body string) {
 	deadline, _ := platform.Deadline(r.Header)
 	s.mu.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -150,6 +150,19 @@
 	return n
 }
 
+// CrashCount returns the number of crashes that are reported.
+func (g Register) CrashCount() int {
+	type crash struct {
+		node        string
+		incarnation uint64
+	}
+	crashes := map[crash]bool{}
+	for k := range g.reports {
+		crashes[crash{k.node, k.incarnation}] = true
+	}
+	return len(crashes)
+}
+
 // Reports returns all reports, ordered by fingerprint, node and incarnation.
 func (g Register) Reports() []Report {
 	list := slices.Collect(maps.Values(g.reports))
