Tell requests apart by their bodies, and refuse none that has run well

Cause: a request was identified by caller, method and path alone, so all orders were one request, which is in flight at any crash; and that it had run well hundreds of times did not count. Equal requests, such as a popular lookup without a body, are blamed the same way even with bodies compared.

Now a station hashes the body that it sends. The fingerprint covers the body, or the longest prefix of a power of two that was sent if the server crashed before the rest. The node that takes a request compares it with the reports, and waits for the body only if two crashes were reported with its head. A request that has run well, at a server that then ran on for 0.5 s, refutes the reports of equal ones, at the node beside the crashed server first; a refutation of two crashes or more is pushed, by one of the nodes that know it. That is right since a request that crashes each server never runs well. Of more than 4,096 reports the oldest go, where the newest were ignored before.

--- a/internal/call/body/spool.go
+++ b/internal/call/body/spool.go
@@ -4,6 +4,8 @@
 package body
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"sync"
 
@@ -93,6 +95,27 @@
 	return s.endErr == io.EOF && s.dropped == 0
 }
 
+// Await waits until the body is complete, has n bytes or was cut short, or ctx ends, and
+// returns up to n bytes from its start. It returns none if the start is no longer buffered.
+// Unlike a reader it does not free the buffer; n must not exceed the limit.
+func (s *Spool) Await(ctx context.Context, n int) []byte {
+	stop := context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.changed.Broadcast()
+	})
+	defer stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.endErr == nil && !s.discarded && s.dropped == 0 && len(s.data) < n && ctx.Err() == nil {
+		s.changed.Wait()
+	}
+	if s.dropped > 0 {
+		return nil
+	}
+	return bytes.Clone(s.data[:min(n, len(s.data))])
+}
+
 // Reader returns a reader from the start of the body, or an error of kind
 // Unavailable if the start is no longer buffered.
 func (s *Spool) Reader() (io.ReadCloser, error) {
--- a/internal/call/request/request.go
+++ b/internal/call/request/request.go
@@ -32,7 +32,11 @@
 	MayWait      bool          // may queue for a slot; otherwise it is refused if no slot is free
 	TransitDelay time.Duration // transit time between the nodes in excess of the usual one
 	Local        bool          // sent by the node itself, not over the VM's network link
-	Fingerprint  quarantine.Fingerprint
+}
+
+// Hash returns the hash of the request without its body.
+func (r Request) Hash() *quarantine.Hash {
+	return quarantine.NewHash(r.Caller, r.Method, r.Host+r.Target)
 }
 
 // Result is the result of an attempt. Exactly one of Response and Err is set.
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -331,7 +331,7 @@
 			s.r.cfg.Log.Info(event.ServerForgotten, "node", node, "state", rec.State.String(), "missing", (now - since).String())
 		}
 	}
-	s.register = s.register.WithoutExpired(s.r.cfg.Clock.Now())
+	s.expireReports()
 }
 
 // confirmMissing requests a list, unless one was requested within confirmInterval: the
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -33,7 +33,7 @@
 	Version     uint64              `cbor:"2,keyasint,omitempty"` // of the policy in force
 	Policy      []byte              `cbor:"3,keyasint,omitempty"` // encoded as in the catalogue, compressed
 	Records     []server.Record     `cbor:"5,keyasint,omitempty"`
-	ReportCount uint64              `cbor:"6,keyasint,omitempty"` // number of crash reports
+	ReportCount uint64              `cbor:"6,keyasint,omitempty"` // number of crash reports and of their refutations
 	Reports     []quarantine.Report `cbor:"7,keyasint,omitempty"`
 	Push        bool                `cbor:"8,keyasint,omitempty"`  // the message is a push; its reply is empty
 	Revision    uint64              `cbor:"9,keyasint,omitempty"`  // of the policy's entry in the catalogue
@@ -98,7 +98,7 @@
 		Version:     s.version(),
 		Checksum:    s.checksum,
 		Digests:     s.directory.Digests(),
-		ReportCount: uint64(len(s.register.Reports())),
+		ReportCount: s.register.Size(),
 	}
 }
 
@@ -169,7 +169,7 @@
 		}
 	}
 	s.merge(m.Records, m.Node)
-	s.register, _ = s.register.WithReports(m.Reports...)
+	s.mergeReports(m.Reports)
 }
 
 // fetchPolicy fetches the policy of the given version from the node at address.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -82,6 +82,7 @@
 	latest       server.Record // record announced last
 	latestNumber uint64        // number of records announced
 	revision     gd.Revision   // of the entry with the policy in force
+	innocent     quarantine.Completed
 }
 
 // state is the mutable state of a Roster. Only the control goroutine, which runs
@@ -96,21 +97,22 @@
 	previous     previousPolicy
 	directory    server.Directory
 	register     quarantine.Register
-	own          server.Record            // record that this process announced last
-	hasOwn       bool                     // own is set
-	adopted      server.Record            // record of an earlier process of this node, passed to OnAdoption
-	stored       server.Record            // record in this node's catalogue entry
-	revision     gd.Revision              // of this node's catalogue entry, zero if there is none
-	changedAt    map[string]time.Duration // by node: when its record was last replaced
-	missingSince map[string]time.Duration // by node: since when the catalogue has no entry for it
-	listedAt     time.Duration            // when the last list that is not stale was requested
-	confirmedAt  time.Duration            // when expire requested a list last
-	heardAt      map[string]time.Duration // by node: when its last message arrived
-	forgotten    map[string]server.Record // by node: records dropped, so that other nodes do not restore them
-	left         bool                     // Leave was called
-	keepsEntry   bool                     // the catalogue entry is left for the next process of this node
-	announced    uint64                   // Roster.latestNumber when a record was announced last
-	fetching     uint64                   // version of the policy that is being fetched from another node, 0 for none
+	spread       map[quarantine.Report]bool // refuted reports that another node has sent
+	own          server.Record              // record that this process announced last
+	hasOwn       bool                       // own is set
+	adopted      server.Record              // record of an earlier process of this node, passed to OnAdoption
+	stored       server.Record              // record in this node's catalogue entry
+	revision     gd.Revision                // of this node's catalogue entry, zero if there is none
+	changedAt    map[string]time.Duration   // by node: when its record was last replaced
+	missingSince map[string]time.Duration   // by node: since when the catalogue has no entry for it
+	listedAt     time.Duration              // when the last list that is not stale was requested
+	confirmedAt  time.Duration              // when expire requested a list last
+	heardAt      map[string]time.Duration   // by node: when its last message arrived
+	forgotten    map[string]server.Record   // by node: records dropped, so that other nodes do not restore them
+	left         bool                       // Leave was called
+	keepsEntry   bool                       // the catalogue entry is left for the next process of this node
+	announced    uint64                     // Roster.latestNumber when a record was announced last
+	fetching     uint64                     // version of the policy that is being fetched from another node, 0 for none
 
 	compressed        []byte // compressed form of raw, sent to other nodes
 	compressedVersion uint64 // version of the policy in compressed
@@ -157,6 +159,7 @@
 		missingSince: map[string]time.Duration{},
 		heardAt:      map[string]time.Duration{},
 		forgotten:    map[string]server.Record{},
+		spread:       map[quarantine.Report]bool{},
 	}
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
@@ -369,16 +372,5 @@
 	s.announce(rec)
 }
 
-// Report adds reports of requests that were in flight when a server crashed, and
-// pushes the new ones to all other nodes.
-func (r *Roster) Report(ctx context.Context, reports []quarantine.Report) {
-	r.post(ctx, func(s *state) {
-		var added []quarantine.Report
-		if s.register, added = s.register.WithReports(reports...); len(added) > 0 {
-			s.push(Message{Reports: added})
-		}
-	})
-}
-
 // Started returns a channel that is closed when the first policy is in force.
 func (r *Roster) Started() <-chan struct{} { return r.started }
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
 	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
 	"github.com/geraniumdock/geraniumdock/platform"
+	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
@@ -22,7 +23,13 @@
 // run attempts the request at nodes until one responds or none is left.
 func (s *requestState) run(ctx context.Context) *http.Response {
 	ctx, cancel := context.WithTimeout(ctx, s.deadline-s.began)
-	a := s.attemptAll(ctx)
+	var a request.Result
+	if s.isQuarantined(ctx) {
+		s.giveUpReason = giveUpQuarantined
+		a = request.Failed(gd.Quarantined.Errorf("the request is quarantined: servers crashed while they ran requests equal to it"), false)
+	} else {
+		a = s.attemptAll(ctx)
+	}
 	if a.Response == nil {
 		defer cancel()
 		return s.fail(ctx, a)
@@ -30,6 +37,20 @@
 	return s.forward(cancel, a)
 }
 
+// isQuarantined reports whether the request must not reach a server, as servers have crashed
+// while they ran requests equal to it. If that depends on its body, it waits for the body.
+func (s *requestState) isQuarantined(ctx context.Context) bool {
+	register, now := s.g.cfg.Snapshot().Register, s.g.cfg.Clock.Now()
+	if register.IsEmpty() {
+		return false
+	}
+	hash := quarantine.NewHash(s.g.cfg.Service, s.r.Method, s.r.Host+s.r.RequestURI)
+	if s.r.Body != nil && register.DependsOnBody(now, hash.Head()) {
+		_, _ = hash.Write(s.r.Body.Await(ctx, quarantine.MaxHashedBytes)) // never fails
+	}
+	return s.g.cfg.Verdict(hash.All()...) == quarantine.Refused
+}
+
 // attemptAll attempts the request at one node after the other and returns the
 // result of the last attempt. It stops when the request must not be retried.
 func (s *requestState) attemptAll(ctx context.Context) request.Result {
@@ -107,7 +128,7 @@
 		Header: pool.EndToEnd(s.r.Header), Body: in, ContentLength: s.r.ContentLength,
 		Class: s.route.Name, Idempotent: s.route.Idempotent, Priority: s.route.Priority,
 		Remaining: max(s.deadline-now, 0), Objective: s.objective - now,
-		MayWait: mayWait, Fingerprint: s.fingerprint(),
+		MayWait: mayWait,
 	}, nil
 }
 
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -57,6 +57,7 @@
 	Snapshot   func() *roster.Snapshot
 	Peers      Peers
 	Station    Station
+	Verdict    func(...quarantine.Fingerprint) quarantine.Verdict
 	Limits     budget.Limits // bounds on retries over all nodes
 	Clock      gd.Clock
 	Log        hclog.Logger
--- a/internal/proxy/peer/header.go
+++ b/internal/proxy/peer/header.go
@@ -13,7 +13,6 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
-	"github.com/geraniumdock/geraniumdock/quarantine"
 )
 
 // Paths that a node serves to other nodes.
@@ -60,7 +59,7 @@
 	return strings.Join([]string{
 		r.Service, r.Caller, strconv.Itoa(flags), strconv.Itoa(r.Priority),
 		strconv.FormatInt(r.Remaining.Milliseconds(), 10), strconv.FormatInt(r.Objective.Milliseconds(), 10),
-		strconv.FormatUint(uint64(r.Fingerprint), 16),
+		strconv.FormatUint(uint64(r.Hash().Head()), 16), // read by nodes of earlier versions
 		node, strconv.FormatUint(at.process, 10), strconv.FormatInt(at.sent.Milliseconds(), 10),
 	}, " ")
 }
@@ -85,8 +84,7 @@
 			return "", sendTime{}, gd.Malformed.Wrapf(err, "%s", n.name)
 		}
 	}
-	fingerprint, err := strconv.ParseUint(f[6], 16, 64)
-	if err != nil {
+	if _, err = strconv.ParseUint(f[6], 16, 64); err != nil {
 		return "", sendTime{}, gd.Malformed.Wrapf(err, "fingerprint")
 	}
 	if at.process, err = strconv.ParseUint(f[8], 10, 64); err != nil {
@@ -95,7 +93,6 @@
 	at.sent = time.Duration(sent) * time.Millisecond
 	r.Idempotent, r.MayWait, r.Priority = flags&1 != 0, flags&2 != 0, int(priority)
 	r.Remaining, r.Objective = time.Duration(remaining)*time.Millisecond, time.Duration(objective)*time.Millisecond
-	r.Fingerprint = quarantine.Fingerprint(fingerprint)
 	return node, at, nil
 }
 
--- a/internal/proxy/peer/peer_test.go
+++ b/internal/proxy/peer/peer_test.go
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	r := request.Request{
 		Service: "shop", Caller: "web", Idempotent: true, MayWait: true, Priority: 2,
-		Remaining: 900 * ms, Objective: -20 * ms, Fingerprint: 77,
+		Remaining: 900 * ms, Objective: -20 * ms,
 	}
 	var got request.Request
 	node, s, err := decodeMeta(encodeMeta(r, "node-1", sendTime{5, 70 * ms}), &got)
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -112,7 +112,8 @@
 		Clock: cfg.Clock, Log: cfg.Log,
 		Announce: func(r server.Record) { s.roster.Announce(s.ctx, r) },
 		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
-		Verdict:  s.verdict,
+		Verdict:  func(fp quarantine.Fingerprint) quarantine.Verdict { return s.verdict(fp) },
+		Innocent: s.recordInnocent,
 		Observe: func(o station.Outcome) {
 			cfg.Meter.CountServerRequest(o.Status, meter.ServerTiming{TransitDelay: o.TransitDelay, SlotWait: o.SlotWait, SlotTime: o.SlotTime})
 		},
@@ -120,6 +121,7 @@
 	s.ingress = ingress.New(ingress.Config{
 		Node: st.Node, DataCentre: st.DataCentre, Service: st.Server.Service,
 		Snapshot: s.roster.Snapshot, Peers: s.peerClient, Station: s.station,
+		Verdict:   s.verdict,
 		Limits:    retryBudget(st.Bounds),
 		Clock:     cfg.Clock,
 		Log:       cfg.Log,
@@ -160,15 +162,18 @@
 // here to find the cause, because that would block a whole server.
 const crashThreshold = 3
 
-// verdict returns whether requests with the fingerprint may reach a server.
-func (s *Sidecar) verdict(fp quarantine.Fingerprint) quarantine.Verdict {
+// verdict returns whether a request with the fingerprints may reach a server.
+func (s *Sidecar) verdict(fps ...quarantine.Fingerprint) quarantine.Verdict {
 	register, now := s.roster.Snapshot().Register, s.cfg.Clock.Now()
-	if register.Crashes(now, fp) >= crashThreshold {
+	if register.Crashes(now, fps...) >= crashThreshold {
 		return quarantine.Refused
 	}
-	return register.Verdict(now, fp)
+	return register.Verdict(now, fps...)
 }
 
+// recordInnocent records that a request with the fingerprints ran well.
+func (s *Sidecar) recordInnocent(fps []quarantine.Fingerprint) { s.roster.RecordInnocent(s.ctx, fps) }
+
 // defaultLimits apply until the first policy is received.
 var defaultLimits = route.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
--- a/internal/proxy/station/crash.go
+++ b/internal/proxy/station/crash.go
@@ -12,7 +12,6 @@
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
-	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 )
@@ -25,6 +24,8 @@
 	// to its request. A request that crashes a server does so while it runs or soon after.
 	settleTime  = 500 * time.Millisecond
 	maxSuspects = 64 // requests reported for one crash
+	// maxCompleted is the number of requests with complete responses among them.
+	maxCompleted = 16
 	// probeDelay is the time from an interrupted request to the probe of the server.
 	probeDelay = 20 * time.Millisecond
 )
@@ -39,25 +40,19 @@
 	completed                 // the request and the response were transferred completely
 )
 
-// exchanged is a request that has been sent to the server.
-type exchanged struct {
-	fingerprint quarantine.Fingerprint
-	sentTo      platform.Announcement
-	deadline    time.Duration // monotonic time until which the server works on it
-}
-
 // suspect is a request that has ended, and to which a crash of the server may be due
 // until the monotonic time until.
 type suspect struct {
-	fingerprint quarantine.Fingerprint
-	ending      ending
-	until       time.Duration
+	fingerprint, head quarantine.Fingerprint
+	ending            ending
+	until             time.Duration
+	innocent          []quarantine.Fingerprint // all its fingerprints, if it ran well; the server has not crashed if until has passed
 }
 
 // recordFailure records a failed exchange with the server. If the request has reached
 // the server, it is a suspect and the server is probed. Otherwise the server is marked as
 // down.
-func (s *Station) recordFailure(ctx context.Context, x exchanged, result pool.Result) {
+func (s *Station) recordFailure(ctx context.Context, x *exchange, result pool.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
@@ -76,7 +71,7 @@
 }
 
 // recordEnding records how an exchange ended after the head of the response.
-func (s *Station) recordEnding(x exchanged, e ending) {
+func (s *Station) recordEnding(x *exchange, e ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addSuspect(x, e)
@@ -87,7 +82,7 @@
 
 // addSuspect adds a request that has ended to the suspects, unless the server that it was
 // sent to is down or has been replaced. The caller holds s.mu.
-func (s *Station) addSuspect(x exchanged, e ending) {
+func (s *Station) addSuspect(x *exchange, e ending) {
 	if s.state != server.Up || s.server.Instance != x.sentTo.Instance || s.server.Started != x.sentTo.Started {
 		return
 	}
@@ -100,13 +95,29 @@
 	case completed:
 		until = now + settleTime
 	}
-	s.suspects = append(s.suspects, suspect{x.fingerprint, e, until})
+	fp, head := x.body.fingerprint()
+	if fp == head && !x.body.isComplete() {
+		return // too little was sent to tell the request from others
+	}
+	it := suspect{fingerprint: fp, head: head, ending: e, until: until}
+	if e == completed && x.ranWell {
+		it.innocent = x.body.fingerprints()
+	}
+	s.suspects = append(s.suspects, it)
 }
 
-// pruneSuspects drops the suspects to which a crash at now could not be due any more. The
-// caller holds s.mu.
+// pruneSuspects drops the suspects to which a crash at now could not be due any more, and
+// passes those that ran well to Config.Innocent. The caller holds s.mu.
 func (s *Station) pruneSuspects(now time.Duration) {
-	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool { return now > x.until })
+	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool {
+		if now <= x.until {
+			return false
+		}
+		if x.innocent != nil {
+			s.cfg.Innocent(x.innocent)
+		}
+		return true
+	})
 }
 
 // watchSuspects checks whether the server still runs while there are suspects: an idle
@@ -183,9 +194,9 @@
 	s.crashes++
 	at := s.cfg.Clock.Now()
 	var reports []quarantine.Report
-	for _, x := range suspects[:min(len(suspects), maxSuspects)] {
+	for _, x := range suspects[:min(len(suspects), maxSuspects, atEnd+maxCompleted)] {
 		reports = append(reports, quarantine.Report{
-			Fingerprint: x.fingerprint, Node: s.cfg.Node, Incarnation: uint64(s.server.Started) + s.crashes, At: at,
+			Fingerprint: x.fingerprint, Head: x.head, Node: s.cfg.Node, Incarnation: uint64(s.server.Started) + s.crashes, At: at,
 			Alone: atEnd == 1 && x.ending != completed || len(suspects) == 1,
 		})
 	}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
@@ -90,7 +89,7 @@
 		return request.Failed(err, false)
 	}
 	began := s.now()
-	a := s.exchange(ctx, id, r, sentTo)
+	a := s.send(ctx, id, r, sentTo)
 	status := 0
 	if a.Response != nil {
 		status = a.Response.StatusCode
@@ -222,7 +221,7 @@
 	case s.state != server.Up:
 		return gd.Draining.Errorf("the server beside node %s is %s", s.cfg.Node, s.state)
 	}
-	if s.cfg.Verdict(r.Fingerprint) == quarantine.Refused {
+	if s.cfg.Verdict(r.Hash().Head()) == quarantine.Refused {
 		return gd.Quarantined.Errorf("the request is quarantined: servers crashed while they ran requests like it")
 	}
 	return nil
@@ -279,16 +278,14 @@
 	s.startQueued()
 }
 
-// exchange sends the request to the server sentTo. The slot is freed before it returns,
+// send sends the request to the server sentTo. The slot is freed before it returns,
 // or when the body of a streamed response is closed.
-func (s *Station) exchange(ctx context.Context, id uint64, r request.Request, sentTo platform.Announcement) request.Result {
+func (s *Station) send(ctx context.Context, id uint64, r request.Request, sentTo platform.Announcement) request.Result {
 	req := s.outgoingRequest(ctx, r, sentTo.Instance)
-	var sentBody *trackedBody
+	x := &exchange{body: newSentBody(r.Hash(), req.Body), sentTo: sentTo, deadline: s.deadlineOf(ctx)}
 	if req.Body != nil && req.Body != http.NoBody {
-		sentBody = &trackedBody{ReadCloser: req.Body}
-		req.Body = sentBody
+		req.Body = x.body
 	}
-	x := exchanged{r.Fingerprint, sentTo, s.deadlineOf(ctx)}
 	s.beginExchange(id, x)
 	sent := s.now()
 	result := s.pool.Do(ctx, pool.Request{Request: req, Target: r.Target, ID: r.ID, Idempotent: r.Idempotent})
@@ -301,7 +298,12 @@
 	s.recordNotices(r.ID, sentTo, sent, res)
 	responseBody := &trackedBody{ReadCloser: res.Body}
 	res.Body = responseBody
-	ended := func() { s.recordEnding(x, endingOf(ctx, sentBody, responseBody)) }
+	x.ranWell = isRunResponse(res)
+	ended := func() {
+		if !platform.IsNotRun(res) {
+			s.recordEnding(x, endingOf(ctx, x.body, responseBody))
+		}
+	}
 	prefix, complete, err := body.ReadPrefix(res)
 	if err == nil {
 		err = checkResponse(res)
@@ -331,7 +333,7 @@
 }
 
 // beginExchange records that the request runs on the server.
-func (s *Station) beginExchange(id uint64, x exchanged) {
+func (s *Station) beginExchange(id uint64, x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[id] = x
@@ -351,40 +353,16 @@
 
 // endingOf returns how an exchange ended whose response was read until it ended, failed or
 // was closed.
-func endingOf(ctx context.Context, sentBody, responseBody *trackedBody) ending {
+func endingOf(ctx context.Context, sent *sentBody, responseBody *trackedBody) ending {
 	switch {
 	case responseBody.hasFailed() && ctx.Err() == nil:
 		return interrupted
-	case !responseBody.isComplete() || sentBody != nil && !sentBody.isComplete():
+	case !responseBody.isComplete() || !sent.isComplete():
 		return abandoned
 	}
 	return completed
 }
 
-// trackedBody records how the reads of a body ended.
-type trackedBody struct {
-	io.ReadCloser
-	complete, failed atomic.Bool
-}
-
-// Read reads the body.
-func (b *trackedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == io.EOF:
-		b.complete.Store(true)
-	case err != nil:
-		b.failed.Store(true)
-	}
-	return n, err
-}
-
-// isComplete reports whether the body was read to its end.
-func (b *trackedBody) isComplete() bool { return b.complete.Load() }
-
-// hasFailed reports whether a read failed.
-func (b *trackedBody) hasFailed() bool { return b.failed.Load() }
-
 // checkResponse returns an error for a response that cannot be the server's own: a
 // successful one without the server's signature, or one with a content encoding.
 func checkResponse(res *http.Response) error {
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -43,6 +43,9 @@
 	Announce func(server.Record)       // called with each change of the server's record
 	Report   func([]quarantine.Report) // called with the requests in flight when the server crashed
 	Verdict  func(quarantine.Fingerprint) quarantine.Verdict
+	// Innocent is called with all fingerprints of a request that ran well on a server which
+	// has not crashed since. It must not block.
+	Innocent func([]quarantine.Fingerprint)
 	Observe  func(Outcome) // called for each request that was sent to the server
 }
 
@@ -73,7 +76,7 @@
 	failureRate   float64
 	lastID        uint64
 	waiting       map[uint64]chan error // by request; receives nil when a slot is granted
-	running       map[uint64]exchanged  // by request
+	running       map[uint64]*exchange  // by request
 	suspects      []suspect
 	unwatched     bool // a request was abandoned since the last call of watchSuspects
 	crashes       uint64
@@ -96,7 +99,7 @@
 		queue:      admission.New(1),
 		state:      server.Lost,
 		waiting:    map[uint64]chan error{},
-		running:    map[uint64]exchanged{},
+		running:    map[uint64]*exchange{},
 		startTimer: stoppedTimer(),
 		startedAt:  cfg.Clock.Monotonic(),
 		startTime:  cfg.Clock.Now(),
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -36,6 +36,7 @@
 		Announce: func(r server.Record) { states = append(states, r.State) },
 		Report:   func([]quarantine.Report) {},
 		Verdict:  func(quarantine.Fingerprint) quarantine.Verdict { return quarantine.Clear },
+		Innocent: func([]quarantine.Fingerprint) {},
 		Observe:  func(Outcome) {},
 	})
 	if err := s.HandleAnnouncement(announcement(1, 1)); err != nil {
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -5,6 +5,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -48,9 +49,9 @@
 	InRequest                 // before it has read the body of the request
 )
 
-// CrashPath is the part of a path that marks the requests which crash servers with
-// CrashAt set.
-const CrashPath = "crash"
+// CrashMark is the part of a path or a body that marks the requests which crash servers
+// with CrashAt set.
+const CrashMark = "crash"
 
 // Run describes a request that the server started to run.
 type Run struct {
@@ -69,7 +70,7 @@
 	WorkTime         time.Duration // running time of a request
 	AnnounceInterval time.Duration // interval between announcements; 0 disables the periodic ones
 	NodeAddress      string        // address at which the node accepts announcements
-	CrashAt          *CrashPoint   // requests whose path contains CrashPath crash the server
+	CrashAt          *CrashPoint   // requests whose path or body contains CrashMark crash the server
 	// Advertised is the address that the server announces, such as that of a
 	// proxy in front of it. If empty, the server announces its own address.
 	Advertised string
@@ -311,11 +312,13 @@
 		return
 	}
 	defer s.release()
-	if s.CrashAt != nil && strings.Contains(r.URL.Path, CrashPath) {
-		s.crashOn(w, r, id)
-		return
+	if s.CrashAt != nil && *s.CrashAt == InRequest && strings.Contains(r.URL.Path, CrashMark) {
+		s.crashOn(w, r, id, nil)
 	}
 	body, err := io.ReadAll(r.Body)
+	if s.CrashAt != nil && (strings.Contains(r.URL.Path, CrashMark) || bytes.Contains(body, []byte(CrashMark))) {
+		s.crashOn(w, r, id, body) // also if the client has disconnected
+	}
 	if err != nil {
 		return // the caller disconnected
 	}
@@ -339,12 +342,8 @@
 	crashDelay         = 30 * time.Millisecond // from the last bytes of a response, or from the client's leaving, to the crash
 )
 
-// crashOn runs the request and crashes at s.CrashAt.
-func (s *Server) crashOn(w http.ResponseWriter, r *http.Request, id string) {
-	var body []byte
-	if *s.CrashAt != InRequest {
-		body, _ = io.ReadAll(r.Body) // the server runs the request in any case
-	}
+// crashOn runs the request, of which body has been read, and crashes at s.CrashAt.
+func (s *Server) crashOn(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	s.recordRun(id, r, string(body))
 	length, sent := 0, 0
 	switch *s.CrashAt {
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -39,6 +39,7 @@
 	StoreRestored       = "store-restored" // the store was restored from an older copy
 	ExchangeFailed      = "exchange-failed"
 	RequestsSuspected   = "requests-suspected"
+	SuspectsCleared     = "suspects-cleared" // requests equal to suspected ones have run well
 )
 
 // Events of a request or a connection.
