--- a/internal/http1/listener/conn.go
+++ b/internal/http1/listener/conn.go
@@ -82,9 +82,16 @@
 		}
 		written := make(chan struct{})
 		previousWritten := mayWrite
+		isBodyRead, mayContinue := false, true
+		if spool != nil && c.isBodyBuffered(req) {
+			isBodyRead, mayContinue = true, c.readBody(req, spool, previousWritten)
+		}
 		c.handlers.Go(func() { c.respond(&Request{req, spool}, previousWritten, written) })
 		mayWrite = written
-		if spool != nil && !c.readBody(req, spool, previousWritten) {
+		if spool != nil && !isBodyRead {
+			mayContinue = c.readBody(req, spool, previousWritten)
+		}
+		if !mayContinue {
 			break
 		}
 	}
@@ -160,6 +167,12 @@
 	return c.requestsRead - c.responsesWritten
 }
 
+// isBodyBuffered reports whether the whole body of req has arrived with its head. It is then
+// read before the request is handled, as that does not block.
+func (c *conn) isBodyBuffered(req *http.Request) bool {
+	return req.ContentLength > 0 && req.ContentLength <= int64(c.br.Buffered()) && req.ContentLength <= c.server.spoolBytes && !expectsContinue(req)
+}
+
 // readBody copies the body of req into the spool. It reports whether further
 // requests can be read from the connection.
 func (c *conn) readBody(req *http.Request, spool *body.Spool, previousWritten <-chan struct{}) bool {
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -44,7 +44,7 @@
 	if register.IsEmpty() {
 		return false
 	}
-	hash := quarantine.NewHash(s.g.cfg.Service, s.r.Method, s.r.Host+s.r.RequestURI)
+	hash := s.hash()
 	if s.r.Body != nil && register.DependsOnBody(now, hash.Head()) {
 		_, _ = hash.Write(s.r.Body.Await(ctx, quarantine.MaxHashedBytes)) // never fails
 	}
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -135,10 +136,11 @@
 
 	route     *route.Route
 	service   string
-	deadline  time.Duration // monotonic time by which the response is due
-	objective time.Duration // monotonic time until which a response meets the latency objective
-	firstSeen time.Duration // monotonic time at which the caller's first attempt arrived
-	isRepeat  bool          // the caller has sent the request before
+	deadline  time.Duration          // monotonic time by which the response is due
+	objective time.Duration          // monotonic time until which a response meets the latency objective
+	firstSeen time.Duration          // monotonic time at which the caller's first attempt arrived
+	isRepeat  bool                   // the caller has sent the request before
+	identity  quarantine.Fingerprint // see identify
 
 	search       placement.Search
 	reached      int      // servers that may have received the request
@@ -170,9 +172,10 @@
 	if stopTime := time.Duration(s.g.stopAt.Load()); stopTime > 0 && s.deadline > stopTime {
 		return gd.Draining.Errorf("node %s stops in %s, before the deadline of the request", s.g.cfg.Node, stopTime-s.began)
 	}
+	s.identity = s.identify()
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if s.firstSeen, s.isRepeat = s.g.refused.Take(s.began, s.fingerprint()); !s.isRepeat {
+	if s.firstSeen, s.isRepeat = s.g.refused.Take(s.began, s.identity); !s.isRepeat {
 		s.firstSeen = s.began
 	}
 	s.objective = s.firstSeen + rt.Objective
@@ -194,12 +197,26 @@
 	g := s.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refused.Add(g.cfg.Clock.Monotonic(), s.fingerprint(), s.firstSeen, s.deadline)
+	g.refused.Add(g.cfg.Clock.Monotonic(), s.identity, s.firstSeen, s.deadline)
 }
 
-// fingerprint returns a value that is the same for all repeats of the request.
-func (s *requestState) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(s.g.cfg.Service, s.r.Method, s.r.Host+s.r.RequestURI, nil)
+// identify returns a value that is the same for all repeats of the request, and differs for
+// other requests. A body counts whole if it has arrived with the head, else by its length.
+func (s *requestState) identify() quarantine.Fingerprint {
+	hash := s.hash()
+	switch {
+	case s.r.Body == nil:
+	case s.r.Body.IsComplete():
+		_, _ = hash.Write(s.r.Body.Await(context.Background(), quarantine.MaxHashedBytes)) // never fails
+	default:
+		_, _ = hash.Write(strconv.AppendInt(nil, s.r.ContentLength, 10)) // never fails
+	}
+	return hash.Whole()
+}
+
+// hash returns the hash of the request without its body.
+func (s *requestState) hash() *quarantine.Hash {
+	return quarantine.NewHash(s.g.cfg.Service, s.r.Method, s.r.Host+s.r.RequestURI)
 }
 
 // serving takes a new snapshot and returns the servers of the service.
--- a/internal/proxy/ingress/ingress_test.go
+++ b/internal/proxy/ingress/ingress_test.go
@@ -91,6 +91,11 @@
 	if in != nil {
 		r.ContentLength = -1
 	}
+	return handle(g, r, in)
+}
+
+// handle has g handle r with the given body.
+func handle(g *Ingress, r *http.Request, in *body.Spool) *http.Response {
 	return g.Handle(context.Background(), &listener.Request{Request: r, Body: in})
 }
 
@@ -172,3 +177,57 @@
 	is.Equal(post(g, "/orders/1", nil).StatusCode, http.StatusOK) // a new request
 	is.Equal(p.objective, objective)
 }
+
+// TestOrdersOnOnePathAreNotTakenForRepeats refuses an order. Another one with the same path
+// must have an objective of its own, and only the repeat of the refused one counts from the
+// first attempt. Bodies are compared if they arrive with the head, else by their lengths.
+func TestOrdersOnOnePathAreNotTakenForRepeats(t *testing.T) {
+	for name, c := range map[string]struct {
+		bodies   [2]string // of the refused order and of the next one
+		arrive   bool      // with the heads
+		isRepeat bool
+	}{
+		"same body":                      {[2]string{"die 1", "die 1"}, true, true},
+		"other body":                     {[2]string{"die 1", "die 2"}, true, false},
+		"no body, then one":              {[2]string{"", "die 2"}, true, false},
+		"same body that arrives later":   {[2]string{"die 1", "die 1"}, false, true},
+		"longer body that arrives later": {[2]string{"die 1", "die 10"}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &peers{results: []request.Result{failed(gd.Draining, false)}}
+			g := newIngress(t, p)
+			now := &clock.Fake{}
+			g.cfg.Clock = now
+			send := func(text string) {
+				h := http.Header{}
+				platform.SetDeadline(h, time.Hour)
+				r := &http.Request{Method: http.MethodPost, Host: "h", RequestURI: "/orders/new", Header: h, ContentLength: int64(len(text))}
+				var in *body.Spool
+				if text != "" {
+					in = body.New(1 << 10)
+				}
+				if in != nil && c.arrive {
+					_, _ = in.Write([]byte(text))
+					in.End(nil)
+				}
+				if in != nil && !c.arrive {
+					time.AfterFunc(5*time.Millisecond, func() {
+						_, _ = in.Write([]byte(text))
+						in.End(nil)
+					})
+				}
+				handle(g, r, in)
+			}
+			send(c.bodies[0])
+			objective := p.objective
+			now.Advance(100 * time.Millisecond)
+			p.results, p.asked = []request.Result{ok()}, nil
+			send(c.bodies[1])
+			if c.isRepeat {
+				objective -= 100 * time.Millisecond
+			}
+			is.Equal(p.objective, objective)
+		})
+	}
+}
