Do not take the entries of removed machines for live nodes

Cause: a node counted every record of the store as a live node. Its partner in an exchange and the four nodes that it tells of a version were mostly dead ones, the three nodes that watch the policy were dead, and the pause between its polls grew to 16 s. Pushes to dead nodes held the slots of those to live ones, a node that stops took the server of a dead node for another one of its service, and the retry budget was divided by all.

Now a node records which others do not respond to its messages, and hears of those that others have found so. These are no partners, do not watch, and do not count for polls; a push that fails goes to another node; they are asked again after 1 to 16 s, and any message of theirs ends it. That another node says so is not passed on and expires, so a false word ends. After a minute without a response the watchers remove the entry, if another node of the data centre responds (else it may be a partition), and the node does not count for the retry budget.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -107,18 +107,19 @@
 }
 
 // pollInterval returns the mean pause between two polls of this node. It grows
-// with the number of nodes, so that the rate over all nodes is bounded.
+// with the number of nodes that respond, so that the rate over all nodes is bounded.
 func (r *Roster) pollInterval() time.Duration {
-	return max(time.Duration(r.snapshot.Load().Nodes())*time.Second/pollsPerSecond, minPollInterval)
+	return max(time.Duration(r.snapshot.Load().Responding())*time.Second/pollsPerSecond, minPollInterval)
 }
 
-// isWatcher reports whether this node is one of the few that watch the policy:
-// the nodes whose names have the lowest hashes, so that all nodes agree on them.
+// isWatcher reports whether this node is one of the few that watch the policy: of the nodes
+// that respond, those whose names have the lowest hashes, so that all nodes agree on them.
 func (r *Roster) isWatcher() bool {
 	own := xxhash.Sum64String(r.cfg.Self.Node)
 	preceding := 0
-	for _, rec := range r.snapshot.Load().Directory.Records() {
-		if rec.Node != r.cfg.Self.Node && rec.State != server.Gone && xxhash.Sum64String(rec.Node) < own {
+	snapshot := r.snapshot.Load()
+	for _, rec := range snapshot.Directory.Records() {
+		if rec.Node != r.cfg.Self.Node && rec.State != server.Gone && !snapshot.IsSilent(rec.Node) && xxhash.Sum64String(rec.Node) < own {
 			preceding++
 		}
 	}
@@ -251,7 +252,7 @@
 	if !l.isStale {
 		s.listedAt = l.asked
 		for _, rec := range records {
-			s.removeDeparted(rec, revisions[rec.Node])
+			s.removeUnowned(rec, revisions[rec.Node])
 		}
 		s.markMissing(listed, l.revision)
 		s.r.wakePublisher()
@@ -262,28 +263,20 @@
 	}
 }
 
-// removeDeparted deletes the entry with rec if it is older than the departure of its
-// server: the store lost its removal. The node may have ended, so the few nodes that watch
-// the policy do that for all.
-func (s *state) removeDeparted(rec server.Record, revision gd.Revision) {
+// removeUnowned deletes the entry with rec if it is older than the departure of its
+// server, since the store lost its removal, or if its node is lost. The node may have ended,
+// so the few nodes that watch the policy do that for all.
+func (s *state) removeUnowned(rec server.Record, revision gd.Revision) {
 	known, ok := s.directory.Record(rec.Node)
-	if !ok || !isBeforeDeparture(rec, known) || rec.Node == s.r.cfg.Self.Node || !s.r.isWatcher() {
+	if !ok || rec.Node == s.r.cfg.Self.Node || !s.r.isWatcher() {
 		return
 	}
-	r, ctx := s.r, s.ctx
-	r.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		err := r.cfg.Catalogue.Delete(ctx, r.cfg.ServerKind, rec.Node, revision)
-		if gd.NotFound.Is(err) {
-			return // another node has deleted it
-		}
-		if err != nil {
-			r.cfg.Log.Warn(event.PublishFailed, "entry", rec.Node, "error", gd.Message(err))
-			return
-		}
-		r.cfg.Log.Info(event.EntryRemoved, "node", rec.Node, "incarnation", rec.Incarnation, "sequence", rec.Sequence, "revision", revision.String())
-	})
+	switch {
+	case isBeforeDeparture(rec, known):
+		s.removeEntry(rec, revision, "the server has left")
+	case s.isRemovable(known):
+		s.removeEntry(rec, revision, "the node does not respond")
+	}
 }
 
 // markMissing marks the nodes that have no entry in a full list as missing. Nodes
@@ -332,6 +325,8 @@
 		}
 	}
 	s.expireReports()
+	s.expireSilences()
+	s.requestRemovals()
 }
 
 // confirmMissing requests a list, unless one was requested within confirmInterval: the
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -19,6 +19,7 @@
 	gossipInterval  = 500 * time.Millisecond
 	exchangeTimeout = 1500 * time.Millisecond
 	maxPushes       = 32 // pushes of one node in flight
+	maxSlowPushes   = 8  // the same for nodes that do not respond, which must not hold up the others
 	// fanOut is the number of nodes that a node notifies of a new version. A
 	// policy of 1,600 routes is about 50 KB, which takes 0.1 s on a link of
 	// 5 Mbit/s for each node that fetches it.
@@ -42,17 +43,19 @@
 	Delta       []byte              `cbor:"12,keyasint,omitempty"` // from the policy that the query names to the one in force
 	RevisionEra uint64              `cbor:"13,keyasint,omitempty"` // era of Revision
 	Era         uint64              `cbor:"14,keyasint,omitempty"` // of the catalogue, the latest that the sender knows
+	Silent      []string            `cbor:"15,keyasint,omitempty"` // nodes that did not respond to the sender
 }
 
 // gossip exchanges messages with random nodes, one at a time, until ctx ends.
 func (r *Roster) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.sleep(ctx, r.jitter(gossipInterval))
-		var address string
+		var partners []server.Record
 		var query Message
 		done := make(chan struct{})
 		r.post(ctx, func(s *state) {
-			address, query = s.randomAddress(), s.summary()
+			s.retrySilent()
+			partners, query = s.randomNodes(1), s.summary()
 			close(done)
 		})
 		select {
@@ -60,25 +63,17 @@
 		case <-ctx.Done():
 			return
 		}
-		if address != "" {
-			r.exchange(ctx, address, query)
+		for _, partner := range partners {
+			r.exchange(ctx, partner, query)
 		}
 	}
 }
 
-// randomAddress returns the address of a random other node, "" if none is known.
-func (s *state) randomAddress() string {
-	for _, rec := range s.randomNodes(1) {
-		return rec.Address
-	}
-	return ""
-}
-
-// randomNodes returns the records of up to n random other nodes.
+// randomNodes returns the records of up to n random other nodes that respond.
 func (s *state) randomNodes(n int) []server.Record {
 	var others []server.Record
 	for _, rec := range s.directory.Records() {
-		if rec.Node != s.r.cfg.Self.Node && rec.Address != s.r.cfg.Self.Address {
+		if _, isSilent := s.silent[rec.Node]; !isSilent && rec.Node != s.r.cfg.Self.Node && rec.Address != s.r.cfg.Self.Address {
 			others = append(others, rec)
 		}
 	}
@@ -99,19 +94,19 @@
 		Checksum:    s.checksum,
 		Digests:     s.directory.Digests(),
 		ReportCount: s.register.Size(),
+		Silent:      s.silentNodes(),
 	}
 }
 
 // exchange sends a query to a node, merges the reply, and pushes what the node is
 // missing.
-func (r *Roster) exchange(ctx context.Context, address string, query Message) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	reply, err := r.cfg.Exchanger.Exchange(ctx, address, query)
+func (r *Roster) exchange(ctx context.Context, with server.Record, query Message) {
+	reply, err := r.ask(ctx, with, query)
 	if err != nil {
-		r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
 	var update Message
 	done := make(chan struct{})
 	r.post(ctx, func(s *state) {
@@ -126,10 +121,23 @@
 	}
 	if update.Policy != nil || update.Delta != nil || update.Records != nil || update.Reports != nil {
 		update.Push = true
-		if _, err := r.cfg.Exchanger.Exchange(ctx, address, update); err != nil {
-			r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
-		}
+		_, _ = r.ask(ctx, with, update) // ask logs the error
+	}
+}
+
+// ask sends a message to a node and returns its reply. It records whether the node responds.
+func (r *Roster) ask(ctx context.Context, node server.Record, m Message) (Message, error) {
+	limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := r.cfg.Exchanger.Exchange(limited, node.Address, m)
+	switch {
+	case err != nil && ctx.Err() == nil:
+		r.cfg.Log.Debug(event.ExchangeFailed, "address", node.Address, "error", err)
+		r.post(ctx, func(s *state) { s.recordFailure(node.Node) })
+	case err == nil && r.Snapshot().IsSilent(node.Node):
+		r.post(ctx, func(s *state) { s.recordResponse(node.Node) })
 	}
+	return reply, err
 }
 
 // HandleMessage merges a message of another node and returns the reply.
@@ -155,30 +163,31 @@
 // but without its policy, it fetches the policy from the sender.
 func (s *state) receive(m Message) {
 	if m.Node != "" {
-		s.heardAt[m.Node] = s.r.cfg.Clock.Monotonic()
+		s.recordResponse(m.Node)
 		if s.r.cfg.OnHeard != nil {
 			s.r.cfg.OnHeard(m.Node)
 		}
 	}
+	s.recordHearsay(m.Silent)
 	s.enterEra(m.Era, "node "+m.Node)
 	if m.Version > s.version() {
 		if m.Policy != nil || m.Delta != nil {
 			s.receivePolicy(m)
 		} else if rec, ok := s.directory.Record(m.Node); ok && m.Push && s.fetching < m.Version {
-			s.fetchPolicy(rec.Address, m.Version)
+			s.fetchPolicy(rec, m.Version)
 		}
 	}
 	s.merge(m.Records, m.Node)
 	s.mergeReports(m.Reports)
 }
 
-// fetchPolicy fetches the policy of the given version from the node at address.
+// fetchPolicy fetches the policy of the given version from another node.
 // Until the exchange ends, no other node is asked for that version.
-func (s *state) fetchPolicy(address string, version uint64) {
+func (s *state) fetchPolicy(from server.Record, version uint64) {
 	s.fetching = version
 	query := s.summary()
 	s.r.tasks.Go(func() {
-		s.r.exchange(s.ctx, address, query)
+		s.r.exchange(s.ctx, from, query)
 		s.r.post(s.ctx, func(s *state) {
 			if s.fetching == version {
 				s.fetching = 0
@@ -260,23 +269,47 @@
 func (s *state) pushTo(records []server.Record, m Message) {
 	m.Node, m.Push = s.r.cfg.Self.Node, true
 	for _, rec := range records {
-		if rec.Node != s.r.cfg.Self.Node {
-			s.r.tasks.Go(func() { s.r.send(s.ctx, rec.Address, m) })
+		if rec.Node == s.r.cfg.Self.Node {
+			continue
+		}
+		slots := s.r.pushSlots
+		if _, isSilent := s.silent[rec.Node]; isSilent {
+			slots = s.r.slowSlots
 		}
+		s.r.tasks.Go(func() { _ = s.r.send(s.ctx, rec, m, slots) }) // ask logs the error
 	}
 }
 
-// send pushes a message to the node at address.
-func (r *Roster) send(ctx context.Context, address string, m Message) {
+// send pushes a message to a node when one of the slots is free.
+func (r *Roster) send(ctx context.Context, to server.Record, m Message, slots chan struct{}) error {
 	select {
-	case r.pushSlots <- struct{}{}:
+	case slots <- struct{}{}:
 	case <-ctx.Done():
-		return
+		return ctx.Err()
 	}
-	defer func() { <-r.pushSlots }()
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	if _, err := r.cfg.Exchanger.Exchange(ctx, address, m); err != nil {
-		r.cfg.Log.Debug(event.ExchangeFailed, "address", address, "error", err)
+	defer func() { <-slots }()
+	_, err := r.ask(ctx, to, m)
+	return err
+}
+
+// notify pushes the version of the policy in force to n random nodes, which then fetch the
+// policy. If one does not respond, it takes another in its place.
+func (s *state) notify(n int) {
+	m := Message{Node: s.r.cfg.Self.Node, Push: true, Version: s.version()}
+	for _, rec := range s.randomNodes(n) {
+		s.r.tasks.Go(func() { s.r.sendToOne(s.ctx, rec, m, maxReplacing) })
+	}
+}
+
+// sendToOne pushes a message to a node, or if that does not respond to one of up to tries
+// others.
+func (r *Roster) sendToOne(ctx context.Context, to server.Record, m Message, tries int) {
+	if r.send(ctx, to, m, r.pushSlots) == nil || tries == 0 {
+		return
 	}
+	r.post(ctx, func(s *state) {
+		for _, next := range s.randomNodes(1) {
+			r.tasks.Go(func() { r.sendToOne(ctx, next, m, tries-1) })
+		}
+	})
 }
--- a/internal/fleet/roster/gossip_test.go
+++ b/internal/fleet/roster/gossip_test.go
@@ -147,8 +147,10 @@
 	s.receive(Message{Node: "first", Version: 3, Push: true})
 	s.receive(Message{Node: "second", Version: 3, Push: true}) // not asked while the query to the first is in flight
 	is.Equal(<-x.asked, "first:1")
-	change := <-s.r.changes // the query to the first has failed
-	change(s)
+	for range 2 { // the first does not respond, and the query to it has ended
+		change := <-s.r.changes
+		change(s)
+	}
 	is.Equal(len(x.asked), 0)
 	s.receive(Message{Node: "second", Version: 3, Push: true})
 	is.Equal(<-x.asked, "second:1")
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -60,11 +60,10 @@
 	Directory   server.Directory
 	Serving     map[string][]server.Record // by service, ordered by node
 	Register    quarantine.Register
+	silent      map[string]silence
+	generation  uint64 // of silent
 }
 
-// Nodes returns the number of known nodes, including this one.
-func (s *Snapshot) Nodes() int { return max(1, s.Directory.Len()) }
-
 // Roster maintains the view of one node. Use New to create one.
 type Roster struct {
 	cfg       Config
@@ -76,6 +75,7 @@
 	started   chan struct{} // closed when the first policy is in force
 	tasks     sync.WaitGroup
 	pushSlots chan struct{} // semaphore for pushes in flight
+	slowSlots chan struct{} // the same for pushes to silent nodes
 
 	mu           sync.Mutex // guards the fields below
 	random       *rand.Rand
@@ -88,31 +88,34 @@
 // state is the mutable state of a Roster. Only the control goroutine, which runs
 // Run, accesses it.
 type state struct {
-	r            *Roster
-	ctx          context.Context // ends with Run, and cancels the exchanges in flight
-	policy       *route.Policy
-	policySince  time.Duration
-	raw          []byte // encoded policy, as in the catalogue
-	checksum     uint64 // of raw
-	previous     previousPolicy
-	directory    server.Directory
-	register     quarantine.Register
-	spread       map[quarantine.Report]bool // refuted reports that another node has sent
-	own          server.Record              // record that this process announced last
-	hasOwn       bool                       // own is set
-	adopted      server.Record              // record of an earlier process of this node, passed to OnAdoption
-	stored       server.Record              // record in this node's catalogue entry
-	revision     gd.Revision                // of this node's catalogue entry, zero if there is none
-	changedAt    map[string]time.Duration   // by node: when its record was last replaced
-	missingSince map[string]time.Duration   // by node: since when the catalogue has no entry for it
-	listedAt     time.Duration              // when the last list that is not stale was requested
-	confirmedAt  time.Duration              // when expire requested a list last
-	heardAt      map[string]time.Duration   // by node: when its last message arrived
-	forgotten    map[string]server.Record   // by node: records dropped, so that other nodes do not restore them
-	left         bool                       // Leave was called
-	keepsEntry   bool                       // the catalogue entry is left for the next process of this node
-	announced    uint64                     // Roster.latestNumber when a record was announced last
-	fetching     uint64                     // version of the policy that is being fetched from another node, 0 for none
+	r                *Roster
+	ctx              context.Context // ends with Run, and cancels the exchanges in flight
+	policy           *route.Policy
+	policySince      time.Duration
+	raw              []byte // encoded policy, as in the catalogue
+	checksum         uint64 // of raw
+	previous         previousPolicy
+	directory        server.Directory
+	register         quarantine.Register
+	spread           map[quarantine.Report]bool // refuted reports that another node has sent
+	own              server.Record              // record that this process announced last
+	hasOwn           bool                       // own is set
+	adopted          server.Record              // record of an earlier process of this node, passed to OnAdoption
+	stored           server.Record              // record in this node's catalogue entry
+	revision         gd.Revision                // of this node's catalogue entry, zero if there is none
+	changedAt        map[string]time.Duration   // by node: when its record was last replaced
+	missingSince     map[string]time.Duration   // by node: since when the catalogue has no entry for it
+	listedAt         time.Duration              // when the last list that is not stale was requested
+	confirmedAt      time.Duration              // when expire requested a list last
+	heardAt          map[string]time.Duration   // by node: when its last message arrived
+	silent           map[string]silence         // by node: nodes that do not respond; replaced as a whole
+	silentGeneration uint64                     // increases when silent is replaced
+	removalAt        time.Duration              // when requestRemovals requested a list last
+	forgotten        map[string]server.Record   // by node: records dropped, so that other nodes do not restore them
+	left             bool                       // Leave was called
+	keepsEntry       bool                       // the catalogue entry is left for the next process of this node
+	announced        uint64                     // Roster.latestNumber when a record was announced last
+	fetching         uint64                     // version of the policy that is being fetched from another node, 0 for none
 
 	compressed        []byte // compressed form of raw, sent to other nodes
 	compressedVersion uint64 // version of the policy in compressed
@@ -136,6 +139,7 @@
 		relist:    make(chan struct{}, 1),
 		started:   make(chan struct{}),
 		pushSlots: make(chan struct{}, maxPushes),
+		slowSlots: make(chan struct{}, maxSlowPushes),
 		random:    rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 	r.snapshot.Store(&Snapshot{})
@@ -160,6 +164,7 @@
 		heardAt:      map[string]time.Duration{},
 		forgotten:    map[string]server.Record{},
 		spread:       map[quarantine.Report]bool{},
+		silent:       map[string]silence{},
 	}
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
@@ -204,10 +209,13 @@
 // publishSnapshot stores a new snapshot if the state has changed.
 func (s *state) publishSnapshot() {
 	old := s.r.snapshot.Load()
-	if old.Policy == s.policy && old.Directory.Generation() == s.directory.Generation() && old.Register.Generation() == s.register.Generation() {
+	if old.Policy == s.policy && old.Directory.Generation() == s.directory.Generation() && old.Register.Generation() == s.register.Generation() && old.generation == s.silentGeneration {
 		return
 	}
-	next := &Snapshot{Policy: s.policy, PolicySince: s.policySince, Directory: s.directory, Serving: old.Serving, Register: s.register}
+	next := &Snapshot{
+		Policy: s.policy, PolicySince: s.policySince, Directory: s.directory, Serving: old.Serving, Register: s.register,
+		silent: s.silent, generation: s.silentGeneration,
+	}
 	if old.Directory.Generation() != s.directory.Generation() {
 		next.Serving = s.directory.Serving()
 	}
@@ -239,7 +247,7 @@
 	if first {
 		close(s.r.started)
 	}
-	s.pushTo(s.randomNodes(fanOut), Message{Version: s.version()})
+	s.notify(fanOut)
 }
 
 // version returns the version of the policy in force, 0 if there is none.
@@ -276,10 +284,14 @@
 			s.detectDeparture(r)
 		}
 	}
+	before := s.directory
 	var newer []server.Record
 	s.directory, newer = s.directory.WithRecords(records...)
 	for _, r := range newer {
 		delete(s.forgotten, r.Node)
+		if known, ok := before.Record(r.Node); !ok || r.Incarnation > known.Incarnation {
+			s.clearSilent(r.Node) // a process of the node has started
+		}
 		s.changedAt[r.Node] = s.r.cfg.Clock.Monotonic()
 		if r.Node == s.r.cfg.Self.Node {
 			s.handleOwnRecord(r)
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -252,7 +252,7 @@
 	}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if !s.g.budget.Take(now, s.service, s.snapshot.Nodes(), budget.Retry{IsRerun: s.ran, IsRepeat: s.isRepeat}) {
+	if !s.g.budget.Take(now, s.service, s.snapshot.Nodes(now), budget.Retry{IsRerun: s.ran, IsRepeat: s.isRepeat}) {
 		return giveUpNoBudget
 	}
 	return ""
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -208,7 +208,8 @@
 		}
 		return (s.cfg.Clock.Monotonic() - snapshot.PolicySince).Seconds()
 	})
-	m.Gauge("geraniumdock_nodes", func() float64 { return float64(s.roster.Snapshot().Nodes()) })
+	m.Gauge("geraniumdock_nodes", func() float64 { return float64(s.roster.Snapshot().Nodes(s.cfg.Clock.Monotonic())) })
+	m.Gauge("geraniumdock_nodes_responding", func() float64 { return float64(s.roster.Snapshot().Responding()) })
 	m.Gauge("geraniumdock_reported_crashes", func() float64 { return float64(s.Crashes()) })
 	m.Gauge("geraniumdock_client_connections", func() float64 { return float64(s.clientServer.Connections()) })
 	m.Gauge("geraniumdock_server_connections_opened", func() float64 { return float64(s.station.Opened()) })
--- a/internal/proxy/sidecar/stop.go
+++ b/internal/proxy/sidecar/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
@@ -97,14 +98,15 @@
 }
 
 // ownServing returns the available servers of the service to which the server beside
-// the node belongs, or none if that server is not available.
+// the node belongs, without those beside nodes that do not respond, or none if that server
+// is not available.
 func (s *Sidecar) ownServing() []server.Record {
 	snapshot := s.roster.Snapshot()
 	own, ok := snapshot.Directory.Record(s.cfg.Settings.Node)
 	if !ok || own.State != server.Up {
 		return nil
 	}
-	return snapshot.Serving[own.Service]
+	return slices.DeleteFunc(slices.Clone(snapshot.Serving[own.Service]), func(r server.Record) bool { return snapshot.IsSilent(r.Node) })
 }
 
 // awaitIdle waits until the platform sends no more clients here and all accepted
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -38,6 +38,8 @@
 	StoreListed         = "store-listed"
 	StoreRestored       = "store-restored" // the store was restored from an older copy
 	ExchangeFailed      = "exchange-failed"
+	NodeSilent          = "node-silent"   // another node does not respond
+	NodeResponds        = "node-responds" // it does again
 	RequestsSuspected   = "requests-suspected"
 	SuspectsCleared     = "suspects-cleared" // requests equal to suspected ones have run well
 )
