Keep an acknowledged leave when all processes end

Cause: the leave is known to processes only until the store has it. The next process found the server up in its entry and used it on the strength of that alone, for as long as nothing said otherwise; a server that has left announces nothing, so nothing did. The same holds with a store that is up, if the kill comes right after the acknowledgement, which did not wait for it.

Now a server that is taken over from an entry must announce itself within two intervals of the start of the process (setting server.announce-interval-seconds, 1.5 s by default), else it is marked as lost until it does; after that time none is taken over. A server that lives does so, one that has left never does.

--- a/internal/fleet/roster/publish.go
+++ b/internal/fleet/roster/publish.go
@@ -107,6 +107,33 @@
 	return nil
 }
 
+// AwaitStored waits until the catalogue has the record that was announced last, or ctx ends.
+// It reports whether the catalogue has it, so that the next process of this node learns of it
+// even if all others end.
+func (r *Roster) AwaitStored(ctx context.Context) bool {
+	stored := make(chan struct{})
+	r.post(ctx, func(s *state) {
+		s.announceLatest()
+		s.storedWaiters = append(s.storedWaiters, stored)
+	})
+	select {
+	case <-stored:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// releaseWaiters ends the calls of AwaitStored if the catalogue has what this node announced.
+func (s *state) releaseWaiters() {
+	if s.hasOwn && (s.left && s.revision.IsZero() || s.own == s.stored && !s.revision.IsZero()) {
+		for _, stored := range s.storedWaiters {
+			close(stored)
+		}
+		s.storedWaiters = nil
+	}
+}
+
 // reloadOwnEntry reads this node's entry after a write that failed or whose outcome
 // is unknown. It returns cause, the error of that write.
 func (r *Roster) reloadOwnEntry(ctx context.Context, node string, cause error) error {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -103,6 +103,7 @@
 	adopted          server.Record              // record of an earlier process of this node, passed to OnAdoption
 	stored           server.Record              // record in this node's catalogue entry
 	revision         gd.Revision                // of this node's catalogue entry, zero if there is none
+	storedWaiters    []chan struct{}            // closed when stored is own
 	changedAt        map[string]time.Duration   // by node: when its record was last replaced
 	missingSince     map[string]time.Duration   // by node: since when the catalogue has no entry for it
 	listedAt         time.Duration              // when the last list that is not stale was requested
@@ -173,6 +174,7 @@
 		case change := <-r.changes:
 			change(s)
 			s.applyQueued()
+			s.releaseWaiters()
 			s.publishSnapshot()
 		case <-tick.C:
 			s.expire()
--- a/internal/proxy/sidecar/notice_test.go
+++ b/internal/proxy/sidecar/notice_test.go
@@ -183,3 +183,32 @@
 		})
 	}
 }
+
+// TestAcknowledgedLeaveOutlastsAllNodes has a server leave and kills all nodes as soon as the
+// leave is acknowledged. The next processes learn from the store at most that the server was
+// up. They must not use it, and must go on to use the servers that announce themselves.
+func TestAcknowledgedLeaveOutlastsAllNodes(t *testing.T) {
+	for name, faults := range map[string]catalogue.Faults{"store up": {}, "store down": {Outage: catalogue.Busy}, "store silent": {Outage: catalogue.Silent}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, fleet.Spec{Nodes: shopNodes(3), Slots: 6, Drain: 100 * time.Millisecond, AnnounceInterval: 200 * time.Millisecond})
+			is.NoErr(fleet.Await("the entries are written", func() bool { return countEntries(f) == 3 }))
+			f.Store.SetFaults(faults)
+			left := f.VMs[0]
+			is.NoErr(left.Server.Leave())
+			for _, vm := range f.VMs {
+				vm.Sidecar.Kill()
+			}
+			for _, vm := range f.VMs {
+				is.NoErr(f.Restart(vm))
+			}
+			f.Store.SetFaults(catalogue.Faults{})
+			is.NoErr(f.AwaitServers(2))
+			time.Sleep(joinedStart) // longer than two announcements are due in
+			is.NoErr(f.AwaitServers(2))
+			before := left.Server.Stats().Arrivals
+			is.Equal(sendAll(f, f.VMs, "all", 30)[http.StatusOK], 90)
+			is.Equal(left.Server.Stats().Arrivals, before)
+		})
+	}
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -109,7 +109,8 @@
 	})
 	s.station = station.New(station.Config{
 		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.DrainPeriod(), LinkMbps: st.LinkMbps,
-		Clock: cfg.Clock, Log: cfg.Log,
+		AnnounceInterval: st.Server.AnnounceInterval(),
+		Clock:            cfg.Clock, Log: cfg.Log,
 		Announce: func(r server.Record) { s.roster.Announce(s.ctx, r) },
 		Report:   func(list []quarantine.Report) { go s.roster.Report(s.ctx, list) },
 		Verdict:  func(fp quarantine.Fingerprint) quarantine.Verdict { return s.verdict(fp) },
--- a/internal/proxy/station/crash.go
+++ b/internal/proxy/station/crash.go
@@ -166,9 +166,15 @@
 	}
 	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", errorText(cause), "running", len(s.running))
 	s.reportCrash(now)
+	s.loseServer(gd.WrongInstance.Errorf("the server beside node %s is down", s.cfg.Node))
+}
+
+// loseServer marks the server as lost until its next announcement and refuses the queued
+// requests with err. The caller holds s.mu.
+func (s *Station) loseServer(err error) {
 	s.state = server.Lost
 	for _, it := range s.queue.Clear() {
-		s.refuse(it.ID, gd.WrongInstance.Errorf("the server beside node %s is down", s.cfg.Node))
+		s.refuse(it.ID, err)
 	}
 	s.publishRecord()
 }
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -33,16 +33,18 @@
 // Config configures a Station.
 type Config struct {
 	Node     string
-	Address  string        // of the backend server
-	Service  string        // of the server, as configured
-	LinkMbps float64       // speed of the VM's network link, 0 if unknown
-	Drain    time.Duration // longest time from the start of the server's drain to its last request
-	Clock    gd.Clock
-	Log      hclog.Logger
-	Random   *rand.Rand
-	Announce func(server.Record)       // called with each change of the server's record
-	Report   func([]quarantine.Report) // called with the requests in flight when the server crashed
-	Verdict  func(quarantine.Fingerprint) quarantine.Verdict
+	Address  string  // of the backend server
+	Service  string  // of the server, as configured
+	LinkMbps float64 // speed of the VM's network link, 0 if unknown
+	// AnnounceInterval is the time between two announcements of the server.
+	AnnounceInterval time.Duration
+	Drain            time.Duration // longest time from the start of the server's drain to its last request
+	Clock            gd.Clock
+	Log              hclog.Logger
+	Random           *rand.Rand
+	Announce         func(server.Record)       // called with each change of the server's record
+	Report           func([]quarantine.Report) // called with the requests in flight when the server crashed
+	Verdict          func(quarantine.Fingerprint) quarantine.Verdict
 	// Innocent is called with all fingerprints of a request that ran well on a server which
 	// has not crashed since. It must not block.
 	Innocent func([]quarantine.Fingerprint)
@@ -68,6 +70,7 @@
 	server        platform.Announcement
 	state         server.State
 	known         bool          // a server has announced itself or was adopted
+	adopted       bool          // it was adopted and has not announced itself yet
 	drainingSince time.Duration // monotonic time at which the server began to drain or left
 	nodeDraining  bool          // the node itself shuts down
 	stopAt        time.Duration // monotonic time at which the node stops, 0 if not set
@@ -167,7 +170,7 @@
 		s.queue.RemoveLimit()
 		s.awaited = awaited{isPending: s.isOlderThanProcess(a.Started)}
 	}
-	s.server, s.known = a, true
+	s.server, s.known, s.adopted = a, true, false
 	s.coldUntil = s.now() + a.ColdStartRemaining
 	s.applySlots()
 	switch {
@@ -217,7 +220,7 @@
 	if started > s.server.Started {
 		s.server = platform.Announcement{Instance: instance, Started: started, Service: s.server.Service, Slots: s.server.Slots}
 	}
-	s.known = true
+	s.known, s.adopted = true, false
 	s.lastLeave = leaveNotice{instance, s.cfg.Clock.Now()}
 	s.cfg.Log.Info(event.ServerLeft, "instance", instance, "started", s.server.Started.String(), "before", s.state.String())
 	if s.state != server.Draining {
@@ -234,21 +237,46 @@
 	s.drainingSince = s.now()
 }
 
+// adoptionIntervals is the number of announcements, from the start of the process, within
+// which an adopted server must announce itself.
+const adoptionIntervals = 2
+
 // Adopt takes over the record that an earlier process of this node published, so
-// that the server is used before its next announcement.
+// that the server is used before its next announcement. The record may be out of date: that
+// process may have acknowledged that the server leaves, and ended before it or another node
+// could publish that. A server that has left announces nothing more, so one that has
+// announced nothing for adoptionIntervals is not used.
 func (s *Station) Adopt(r server.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.known || s.nodeDraining {
+	if s.known || s.nodeDraining || s.isAdoptionOver() {
 		return
 	}
 	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
-	s.known, s.state = true, server.Up
+	s.known, s.adopted, s.state = true, true, server.Up
 	s.awaited.isPending = s.isOlderThanProcess(r.Started)
 	s.applySlots()
 	s.publishRecord()
 }
 
+// isAdoptionOver reports whether a server that is up must have announced itself by now. The
+// caller holds s.mu.
+func (s *Station) isAdoptionOver() bool {
+	return s.now()-s.startedAt >= adoptionIntervals*s.cfg.AnnounceInterval
+}
+
+// endAdoption marks an adopted server as lost if it has not announced itself in time. The
+// caller holds s.mu.
+func (s *Station) endAdoption() {
+	if !s.adopted || s.state != server.Up || !s.isAdoptionOver() {
+		return
+	}
+	s.adopted = false
+	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", "the server of an earlier process has not announced itself",
+		"running", len(s.running), "up-for", (s.now() - s.startedAt).String())
+	s.loseServer(gd.WrongInstance.Errorf("the server beside node %s has not announced itself", s.cfg.Node))
+}
+
 // StopAt sets the monotonic time at which the node stops. Requests whose deadline
 // is later are refused.
 func (s *Station) StopAt(at time.Duration) {
@@ -310,6 +338,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.widen()
+	s.endAdoption()
 	s.watchSuspects()
 	for _, it := range s.queue.Expire(s.now()) {
 		s.refuse(it.ID, it.Refusal.Error())
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -126,7 +126,7 @@
 func adoptedStation() *Station {
 	clk := &clock.Fake{}
 	clk.Advance(time.Minute)
-	s := New(Config{Address: "10.0.0.1:1", Drain: time.Second, Clock: clk, Log: hclog.NewNullLogger(), Announce: func(server.Record) {}})
+	s := New(Config{Address: "10.0.0.1:1", Drain: time.Second, AnnounceInterval: time.Second, Clock: clk, Log: hclog.NewNullLogger(), Announce: func(server.Record) {}})
 	s.Adopt(server.Record{Instance: "i", Service: "shop", Slots: 2, Started: 1})
 	return s
 }
@@ -265,3 +265,38 @@
 	s.recordNotices("later", announcement(1, 1), at(0), response(0))
 	is.Equal(s.Limit(), 0.0)
 }
+
+// TestAdoptedServerMustAnnounceItself adopts servers that announce themselves in time, late
+// or not at all, and one that is adopted late.
+func TestAdoptedServerMustAnnounceItself(t *testing.T) {
+	const interval = time.Second
+	for name, c := range map[string]struct {
+		adopted, announced time.Duration // from the start of the process, 0 for never
+		want               []server.State
+	}{
+		"in time":         {1, interval, []server.State{server.Up}},
+		"never":           {1, 0, []server.State{server.Up, server.Lost}},
+		"late":            {1, 3 * interval, []server.State{server.Up, server.Lost, server.Up}},
+		"adopted late":    {2 * interval, 0, nil},
+		"first announced": {2 * interval, interval, []server.State{server.Up}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clk := &clock.Fake{}
+			var states []server.State
+			s := New(Config{Address: "10.0.0.1:1", Drain: time.Second, AnnounceInterval: interval, Clock: clk, Log: hclog.NewNullLogger(),
+				Announce: func(r server.Record) { states = append(states, r.State) }})
+			for at := time.Duration(0); at < 4*interval; at += interval / 4 {
+				if at == c.adopted/interval*interval {
+					s.Adopt(server.Record{Instance: "i", Service: "shop", Slots: 2, Started: 1})
+				}
+				if c.announced > 0 && at == c.announced {
+					is.NoErr(s.HandleAnnouncement(announcement(1, 1)))
+				}
+				s.expire()
+				clk.Advance(interval / 4)
+			}
+			is.Equal(states, c.want)
+		})
+	}
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -92,6 +92,7 @@
 	waiting     int
 	sequence    uint64
 	draining    bool
+	left        bool    // no further announcement is sent
 	limits      []Limit // the last one is stated in responses, unless it is lifted
 	leaving     bool    // stated in responses
 	misdirected int     // requests addressed to another instance
@@ -184,6 +185,12 @@
 	tick := time.NewTicker(s.AnnounceInterval)
 	defer tick.Stop()
 	for {
+		s.mu.Lock()
+		left := s.left
+		s.mu.Unlock()
+		if left {
+			return
+		}
 		_ = s.Announce() // retried at the next tick
 		select {
 		case <-tick.C:
@@ -227,8 +234,11 @@
 	return s.Announce()
 }
 
-// Leave notifies the node that the server has left.
+// Leave notifies the node that the server has left, and ends its announcements.
 func (s *Server) Leave() error {
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
 	req, err := platform.NewLeave(s.NodeAddress, s.Instance, s.started)
 	if err != nil {
 		return err
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -47,6 +47,9 @@
 	RepeatRatio float64       // retries allowed per request
 	RepeatSlack float64       // retries allowed in a window in addition to the ratio
 	NoPolicy    bool          // starts without a policy in the store
+	// AnnounceInterval is the time between two announcements of a server; 0 for only those that a
+	// test makes.
+	AnnounceInterval time.Duration
 }
 
 // NodeSpec describes one VM of a fleet.
@@ -112,12 +115,19 @@
 func (f *Fleet) startVM(i int, n NodeSpec) (*VM, error) {
 	server := &backend.Server{
 		Service: n.Service, Instance: fmt.Sprintf("instance-%d", i), Slots: f.spec.Slots, Queue: 4 * f.spec.Slots, WorkTime: f.spec.WorkTime,
+		AnnounceInterval: f.spec.AnnounceInterval,
 	}
-	if err := server.Start(); err != nil {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, gd.Unavailable.Wrapf(err, "listen for backend server")
+	}
+	vm := &VM{Server: server, Settings: f.settings(i, n, l.Addr().String())}
+	if err := f.startSidecar(vm); err != nil {
 		return nil, err
 	}
-	vm := &VM{Server: server, Settings: f.settings(i, n, server.Address())}
-	return vm, f.startAndAnnounce(vm)
+	server.NodeAddress = vm.Sidecar.Address("announcements")
+	server.StartOn(l)
+	return vm, server.Announce()
 }
 
 func (f *Fleet) settings(i int, n NodeSpec, server string) settings.Sidecar {
@@ -130,6 +140,9 @@
 		Bounds: settings.SidecarBounds{RepeatRatio: &f.spec.RepeatRatio, RepeatSlack: &f.spec.RepeatSlack},
 		Log:    settings.Log{Level: "info"}, LinkMbps: f.spec.LinkMbps,
 	}
+	if interval := f.spec.AnnounceInterval.Seconds(); interval > 0 {
+		s.Server.AnnounceIntervalSeconds = &interval
+	}
 	if drain > 0 {
 		s.Bounds.DrainSeconds = &drain
 	}
@@ -139,15 +152,6 @@
 	return s
 }
 
-// startAndAnnounce starts the sidecar of vm and announces its server.
-func (f *Fleet) startAndAnnounce(vm *VM) error {
-	if err := f.startSidecar(vm); err != nil {
-		return err
-	}
-	vm.Server.NodeAddress = vm.Sidecar.Address("announcements")
-	return vm.Server.Announce()
-}
-
 // Restart starts the sidecar of vm on the addresses that it had before. It does
 // not announce the server.
 func (f *Fleet) Restart(vm *VM) error {
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -23,10 +23,11 @@
 	ServerAnnounced     = "server-announced"
 	ServerDown          = "server-down"
 	ServerLeft          = "server-left"
-	ServerLimited       = "server-limited"    // the server has named, changed or lifted its limit
-	ServerOverLimit     = "server-over-limit" // the server got more requests than its limit
-	ServerLeaving       = "server-leaving"    // the server states in a response that it is about to stop
-	ResponseInvalid     = "response-invalid"  // a header field of the server's response is malformed
+	ServerLimited       = "server-limited"       // the server has named, changed or lifted its limit
+	ServerOverLimit     = "server-over-limit"    // the server got more requests than its limit
+	ServerLeaving       = "server-leaving"       // the server states in a response that it is about to stop
+	ResponseInvalid     = "response-invalid"     // a header field of the server's response is malformed
+	DepartureNotStored  = "departure-not-stored" // acknowledged, but the store does not have it yet
 	AnnouncementRefused = "announcement-refused"
 	RecordRefused       = "record-refused"
 	PublishFailed       = "publish-failed"
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -32,8 +32,14 @@
 // SidecarServer holds the service and the address of the backend server beside the
 // node.
 type SidecarServer struct {
-	Service string `yaml:"service"`
-	Address string `yaml:"address"`
+	Service                 string   `yaml:"service"`
+	Address                 string   `yaml:"address"`
+	AnnounceIntervalSeconds *float64 `yaml:"announce-interval-seconds"` // time between two announcements of the server
+}
+
+// AnnounceInterval returns the time between two announcements of the server.
+func (s SidecarServer) AnnounceInterval() time.Duration {
+	return secondsOr(s.AnnounceIntervalSeconds, defaultAnnounceInterval)
 }
 
 // SidecarListen holds the addresses that the node listens on.
@@ -58,11 +64,12 @@
 
 // Defaults for the limits that the platform omits.
 const (
-	defaultDrain        = 2 * time.Second
-	defaultGrace        = 6 * time.Second
-	defaultRepeatRatio  = 0.1
-	defaultRepeatWindow = 10 * time.Second
-	defaultRepeatSlack  = 10
+	defaultDrain            = 2 * time.Second
+	defaultGrace            = 6 * time.Second
+	defaultRepeatRatio      = 0.1
+	defaultRepeatWindow     = 10 * time.Second
+	defaultRepeatSlack      = 10
+	defaultAnnounceInterval = 1500 * time.Millisecond
 )
 
 // DrainPeriod returns the time from the notice that a server leaves to the last request
@@ -178,6 +185,9 @@
 	if _, _, err := net.SplitHostPort(s.Listen.Advertise); err != nil && s.Listen.Advertise != "" {
 		return "listen.advertise", fmt.Sprintf("%q is not of the form host:port", s.Listen.Advertise)
 	}
+	if interval := s.Server.AnnounceIntervalSeconds; interval != nil && (*interval < minBoundSeconds || *interval > maxBound) {
+		return "server.announce-interval-seconds", fmt.Sprintf("%g is not between %g and %g", *interval, minBoundSeconds, float64(maxBound))
+	}
 	switch {
 	case s.LinkMbps < 0:
 		return "link-mbps", fmt.Sprintf("%g is below 0", s.LinkMbps)
