Read past odd entries that another writer left in the store

A record with a port out of range or the highest incarnation was taken; after the latter no node could announce a newer one.

--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -35,9 +35,12 @@
 	return Message{}, nil
 }
 
-// nodeName returns the name of the i-th node, which is its address too.
+// nodeName returns the name of the i-th node.
 func nodeName(i int) string { return fmt.Sprint("node-", i) }
 
+// addressOf returns the address of a node.
+func addressOf(node string) string { return node + ":1" }
+
 // stateWith returns the state of a roster of node-0 that knows nodes 1 to n-1, of which only
 // those in live respond, all in one data centre.
 func stateWith(n int, live ...string) (*state, *deadNetwork, *clock.Fake) {
@@ -45,11 +48,11 @@
 	clk.Advance(time.Hour)
 	network := &deadNetwork{live: map[string]bool{}}
 	for _, node := range live {
-		network.live[node] = true
+		network.live[addressOf(node)] = true
 	}
 	s := &state{
 		r: New(Config{
-			Self: server.Record{Node: nodeName(0), Address: nodeName(0)}, Catalogue: unavailable{}, ServerKind: "servers",
+			Self: server.Record{Node: nodeName(0), Address: addressOf(nodeName(0))}, Catalogue: unavailable{}, ServerKind: "servers",
 			Decode: decodeVersion, Exchanger: network, Clock: clk, Log: hclog.NewNullLogger(), Seed: 1,
 		}),
 		ctx:          context.Background(),
@@ -58,7 +61,7 @@
 		missingSince: map[string]time.Duration{},
 	}
 	for i := range n {
-		s.directory, _ = s.directory.WithRecords(server.Record{Node: nodeName(i), Address: nodeName(i), Service: "shop", Incarnation: 1, DataCentre: "dc"})
+		s.directory, _ = s.directory.WithRecords(server.Record{Node: nodeName(i), Address: addressOf(nodeName(i)), Service: "shop", Incarnation: 1, DataCentre: "dc"})
 	}
 	s.publishSnapshot()
 	return s, network, clk
@@ -109,7 +112,7 @@
 	s, network, _ := stateWith(fanOut*maxReplacing+2, nodeName(1))
 	s.installPolicy([]byte("3"), gd.Revision{Number: 1}, "test")
 	runChanges(s)
-	is.True(slices.Contains(network.asked, nodeName(1)))
+	is.True(slices.Contains(network.asked, addressOf(nodeName(1))))
 }
 
 // TestSilentNodeThatRespondsCounts finds a node silent by itself or by the word of another
@@ -130,7 +133,7 @@
 		"message":               {failure, func(s *state, _ *clock.Fake) { s.receive(Message{Node: node}) }, false},
 		"message after hearsay": {hearsay, func(s *state, _ *clock.Fake) { s.receive(Message{Node: node}) }, false},
 		"next process": {failure, func(s *state, _ *clock.Fake) {
-			s.merge([]server.Record{{Node: node, Address: node, Incarnation: 2}}, "node-2")
+			s.merge([]server.Record{{Node: node, Address: addressOf(node), Incarnation: 2}}, "node-2")
 		}, false},
 		"failure some time ago":   {failure, func(s *state, clk *clock.Fake) { clk.Advance(2 * hearsayTTL); s.expire() }, true},
 		"hearsay some time ago":   {hearsay, func(s *state, clk *clock.Fake) { clk.Advance(hearsayTTL); s.expire() }, false},
@@ -168,7 +171,7 @@
 		runChanges(s)
 	}
 	is.True(len(network.asked) >= 100/int(3*maxRetry.Seconds()/2) && len(network.asked) < 30)
-	network.live["node-1"] = true
+	network.live[addressOf("node-1")] = true
 	clk.Advance(2 * maxRetry)
 	s.retrySilent()
 	runChanges(s)
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -234,6 +234,9 @@
 		rec, err := decodeRecord(e)
 		if err != nil {
 			s.r.cfg.Log.Warn(event.RecordRefused, "entry", e.Name, "revision", e.Revision.String(), "error", gd.Message(err))
+			if e.Name == s.r.cfg.Self.Node && !l.isStale && e.Revision.After(s.revision) {
+				s.stored, s.revision = server.Record{}, e.Revision // is written again
+			}
 			continue
 		}
 		if rec.Node == s.r.cfg.Self.Node && !l.isStale && !s.revision.After(e.Revision) {
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -177,10 +178,20 @@
 			s.fetchPolicy(rec, m.Version)
 		}
 	}
-	s.merge(m.Records, m.Node)
+	s.merge(slices.DeleteFunc(slices.Clone(m.Records), func(r server.Record) bool { return !s.isNodeRecord(r, m.Node) }), m.Node)
 	s.mergeReports(m.Reports)
 }
 
+// isNodeRecord reports whether a node may have written the record, which the given node has
+// sent. A node of an earlier version passes on anything that it finds in the catalogue.
+func (s *state) isNodeRecord(r server.Record, from string) bool {
+	err := checkRecord(r)
+	if err != nil {
+		s.r.cfg.Log.Warn(event.RecordRefused, "entry", r.Node, "source", "node "+from, "error", gd.Message(err))
+	}
+	return err == nil
+}
+
 // fetchPolicy fetches the policy of the given version from another node.
 // Until the exchange ends, no other node is asked for that version.
 func (s *state) fetchPolicy(from server.Record, version uint64) {
--- a/internal/fleet/roster/publish.go
+++ b/internal/fleet/roster/publish.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"strconv"
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
@@ -15,15 +17,40 @@
 	if err := json.Unmarshal(e.Value, &rec); err != nil {
 		return server.Record{}, gd.Invalid.Wrapf(err, "record")
 	}
-	switch {
-	case rec.Node == "" || rec.Node != e.Name:
+	if rec.Node == "" || rec.Node != e.Name {
 		return server.Record{}, gd.Invalid.Errorf("node: %q is not the name of the entry", rec.Node)
+	}
+	return rec, checkRecord(rec)
+}
+
+// Highest values in records. A version must leave room for later ones.
+const (
+	maxPort          = 1<<16 - 1
+	maxRecordSlots   = 100_000
+	maxRecordVersion = 1 << 60
+)
+
+// checkRecord returns an error for a record that no node writes. Others may leave anything
+// in the catalogue.
+func checkRecord(rec server.Record) error {
+	switch {
 	case rec.Address == "" || rec.Service == "":
-		return server.Record{}, gd.Invalid.Errorf("address or service is missing")
+		return gd.Invalid.Errorf("address or service is missing")
 	case rec.State < server.Up || rec.State > server.Gone:
-		return server.Record{}, gd.Invalid.Errorf("state: unknown value %d", rec.State)
+		return gd.Invalid.Errorf("state: unknown value %d", rec.State)
+	case rec.Slots < 0 || rec.Slots > maxRecordSlots:
+		return gd.Invalid.Errorf("slots: %d is not between 0 and %d", rec.Slots, maxRecordSlots)
+	case rec.Incarnation > maxRecordVersion || rec.Sequence > maxRecordVersion:
+		return gd.Invalid.Errorf("incarnation or sequence: %d, %d are above %d", rec.Incarnation, rec.Sequence, uint64(maxRecordVersion))
+	}
+	_, port, err := net.SplitHostPort(rec.Address)
+	if err != nil {
+		return gd.Invalid.Errorf("address: %q is not host:port", rec.Address)
 	}
-	return rec, nil
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > maxPort {
+		return gd.Invalid.Errorf("address: the port of %q is not between 1 and %d", rec.Address, maxPort)
+	}
+	return nil
 }
 
 // publishLoop writes this node's record to the catalogue whenever it has changed,
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -422,3 +422,55 @@
 		is.Equal(r.pollInterval(), c.want)
 	}
 }
+
+// TestOddRecordsAreRefused reads records that no node writes from an entry and from a message
+// of another node. They must be refused, the others must hold, and the node must go on.
+func TestOddRecordsAreRefused(t *testing.T) {
+	good := server.Record{Node: "good", Address: "10.0.0.1:8080", Service: "shop", Slots: 2, Incarnation: 1}
+	odd := server.Record{Node: "odd", Address: "10.0.0.2:8080", Service: "shop", Slots: 2, Incarnation: 1}
+	for name, change := range map[string]func(*server.Record){
+		"port out of range":   func(r *server.Record) { r.Address = "10.0.0.2:99999" },
+		"port 0":              func(r *server.Record) { r.Address = "10.0.0.2:0" },
+		"no port":             func(r *server.Record) { r.Address = "10.0.0.2" },
+		"no service":          func(r *server.Record) { r.Service = "" },
+		"unknown state":       func(r *server.Record) { r.State = 9 },
+		"negative slots":      func(r *server.Record) { r.Slots = -1 },
+		"too many slots":      func(r *server.Record) { r.Slots = 1 << 40 },
+		"highest incarnation": func(r *server.Record) { r.Incarnation = 1<<64 - 1 },
+		"highest sequence":    func(r *server.Record) { r.Sequence = 1<<64 - 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := odd
+			change(&r)
+			value, err := json.Marshal(r)
+			is.NoErr(err)
+			_, err = decodeRecord(gd.Entry{Name: "odd", Value: value})
+			is.True(gd.Invalid.Is(err))
+			s, _, _ := stateWith(1)
+			s.receive(Message{Node: "old", Push: true, Records: []server.Record{r, good}})
+			_, known := s.directory.Record("odd")
+			is.True(!known)
+			_, known = s.directory.Record("good")
+			is.True(known)
+		})
+	}
+	for _, text := range []string{`{"node":"odd","slots":1e400}`, `{"node":"odd","incarnation":-1}`, `[[[[]]]]`, `null`, `7`, `{"node":{"a":{"b":null}}}`, ``} {
+		if _, err := decodeRecord(gd.Entry{Name: "odd", Value: []byte(text)}); !gd.Invalid.Is(err) {
+			t.Errorf("decodeRecord(%s): %v", text, err)
+		}
+	}
+}
+
+// TestOddOwnEntryIsWrittenAgain has another writer replace this node's entry by one that
+// cannot be read. The node must write its own record again.
+func TestOddOwnEntryIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	s, _, _ := stateWith(1)
+	s.own, s.hasOwn = server.Record{Node: nodeName(0), Address: addressOf(nodeName(0)), Service: "shop", Incarnation: 1}, true
+	s.stored, s.revision = s.own, gd.Revision{Number: 3}
+	s.mergeList(serverList{entries: []gd.Entry{{Name: nodeName(0), Value: []byte("null"), Revision: gd.Revision{Number: 5}}}, revision: gd.Revision{Number: 6}})
+	is.True(s.stored != s.own)
+	is.Equal(s.revision, gd.Revision{Number: 5})
+	is.Equal(len(s.r.publish), 1)
+}
