Fail at once when a refusal of an earlier request has no end

A refusal that a server wrote once more on a kept connection: clients were told 'not run' for a request that ran. Not possible here: the id of each response is compared (TestRefusalWrittenAgain, 7 forms of the refusal at 4 points). But one without a length before the response held the next request until its deadline, as its end was waited for: the test hung on that case; such a response ends the exchange at once now.

A head cut off that became a 200 with a short body: not possible. TestResponseCutAtAnyByte cuts 10 responses after each byte, TestServerFailures cuts the head on the whole path; both passed as they were.

--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -191,11 +191,15 @@
 		if id == r.ID || id == "" && c.requests == 1 {
 			return res, nil
 		}
+		if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+			// Nothing follows, or its body ends only with the connection.
+			return nil, gd.Malformed.Errorf("response has the id of another request")
+		}
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBodyBytes))
 		if err != nil {
 			return nil, err
 		}
-		if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 || n == maxStaleBodyBytes {
+		if n == maxStaleBodyBytes {
 			return nil, gd.Malformed.Errorf("response has the id of another request")
 		}
 	}
--- a/internal/proxy/sidecar/request_test.go
+++ b/internal/proxy/sidecar/request_test.go
@@ -129,6 +129,7 @@
 	for name, faults := range map[string]backend.Faults{
 		"response lost": {LoseResponse: true},
 		"response cut":  {TruncateResponse: true},
+		"head cut":      {TruncateHead: true},
 		"extra bytes":   {ExtraBytes: true},
 		"no signature":  {NoSignature: true},
 		"encoded":       {WrongContentEncoding: true},
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -28,6 +28,7 @@
 type Faults struct {
 	LoseResponse         bool // requests run, then the connection is closed before a response is sent
 	TruncateResponse     bool // responses are truncated
+	TruncateHead         bool // responses end within their heads
 	ExtraBytes           bool // an unsolicited second response follows each response
 	NoSignature          bool // responses are not signed
 	NoContentLength      bool // responses have no Content-Length and end when the connection closes
@@ -447,7 +448,7 @@
 	case f.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 		fmt.Fprint(w, text)
-	case f.TruncateResponse, f.ExtraBytes, f.NoContentLength:
+	case f.TruncateResponse, f.TruncateHead, f.ExtraBytes, f.NoContentLength:
 		s.respondRaw(w, id, text, f)
 	default:
 		h.Set("Content-Length", fmt.Sprint(len(text)))
@@ -468,6 +469,10 @@
 		panic(err) // HTTP/1.1 connections can always be hijacked
 	}
 	defer conn.Close()
+	if f.TruncateHead {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(text))
+		return
+	}
 	h := http.Header{}
 	platform.SetRequestID(h, id)
 	platform.SetSignature(h, "seal-of-"+s.Instance)
