Read heads up to the limit of the policy on connections that are older

Cause: the read buffer of a connection, which holds the head, kept the size of the limit of that time.

Now it grows when a longer head arrives that the limit allows, and before the first policy a head may have 256 KB, since its request gets a 503 response that can be repeated.

--- a/internal/http1/listener/conn.go
+++ b/internal/http1/listener/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -20,12 +21,15 @@
 
 const (
 	maxPipelined       = 64      // requests of one connection that are handled concurrently
-	minReadBufferBytes = 4 << 10 // raised to the configured head limit if that is larger
-	writeBufferBytes   = 4 << 10
-	copyBufferBytes    = 16 << 10               // for copying a request body
-	lingerTimeout      = 500 * time.Millisecond // how long input is drained after closing for writes; closing with unread input would reset the connection
-	writeTimeout       = 10 * time.Second       // for one response, in case the client does not read it
-	maxDrainBytes      = 1 << 20                // input drained after closing for writes
+	minReadBufferBytes = 4 << 10 // of a new connection; raised to the limit of a head, up to maxFirstBufferBytes
+	// maxFirstBufferBytes is the largest read buffer of a new connection. It grows when a
+	// longer head arrives that the limit allows.
+	maxFirstBufferBytes = 16 << 10
+	writeBufferBytes    = 4 << 10
+	copyBufferBytes     = 16 << 10               // for copying a request body
+	lingerTimeout       = 500 * time.Millisecond // how long input is drained after closing for writes; closing with unread input would reset the connection
+	writeTimeout        = 10 * time.Second       // for one response, in case the client does not read it
+	maxDrainBytes       = 1 << 20                // input drained after closing for writes
 )
 
 // conn is a client connection. One goroutine runs serve, which reads the requests.
@@ -53,7 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &conn{
 		server: server, nc: nc, limits: limits,
-		br:  bufio.NewReaderSize(nc, max(minReadBufferBytes, limits.HeaderBytes)),
+		br:  bufio.NewReaderSize(nc, max(minReadBufferBytes, min(limits.HeaderBytes, maxFirstBufferBytes))),
 		bw:  bufio.NewWriterSize(nc, writeBufferBytes),
 		ctx: ctx, cancel: cancel,
 		pipelined: make(chan struct{}, maxPipelined),
@@ -130,6 +134,10 @@
 		return nil, err
 	}
 	req, err := readRequest(c.br, min(limits.HeaderBytes, c.br.Size()))
+	for gd.TooLarge.Is(err) && c.br.Size() < limits.HeaderBytes {
+		c.growBuffer(min(2*c.br.Size(), limits.HeaderBytes))
+		req, err = readRequest(c.br, min(limits.HeaderBytes, c.br.Size()))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -137,6 +145,13 @@
 	return req, nil
 }
 
+// growBuffer replaces the read buffer by one of the given size, with the bytes that have
+// been read.
+func (c *conn) growBuffer(size int) {
+	buffered, _ := c.br.Peek(c.br.Buffered()) // never fails
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.nc), size)
+}
+
 // setIdleDeadline applies the idle timeout if no request is pending, and removes the
 // read deadline otherwise. The caller must hold c.mu.
 func (c *conn) setIdleDeadline() {
--- a/internal/http1/listener/listener_test.go
+++ b/internal/http1/listener/listener_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,12 +51,17 @@
 
 // serve starts a server and returns it with a client connection to it.
 func serve(t *testing.T, h handlerFunc) (*Server, net.Conn, *bufio.Reader) {
+	t.Helper()
+	return serveWithLimits(t, h, func() route.Limits { return limits })
+}
+
+func serveWithLimits(t *testing.T, h handlerFunc, limits func() route.Limits) (*Server, net.Conn, *bufio.Reader) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(h, noEvents{}, func() route.Limits { return limits }, 64)
+	s := New(h, noEvents{}, limits, 64)
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(l) }()
 	conn, err := net.Dial("tcp", l.Addr().String())
@@ -282,3 +288,38 @@
 		_, _ = io.Copy(io.Discard, res.Body)
 	}
 }
+
+// TestLimitOfHeadsRises raises the limit of request heads while a connection is open, as the
+// first policy does. A longer head must then be read on that connection, alone and behind
+// another request, and one beyond the limit must be refused.
+func TestLimitOfHeadsRises(t *testing.T) {
+	is := is.New(t)
+	var limit atomic.Int64
+	limit.Store(1024)
+	_, conn, br := serveWithLimits(t, echo, func() route.Limits {
+		l := limits
+		l.HeaderBytes = int(limit.Load())
+		l.HeaderTimeout, l.IdleTimeout = time.Minute, time.Minute
+		return l
+	})
+	send := func(headBytes int) string {
+		head := "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nX-Long: "
+		return head + strings.Repeat("x", headBytes-len(head)-4) + "\r\n\r\nbody"
+	}
+	fmt.Fprint(conn, send(500))
+	code, body, _ := readResponse(t, br)
+	is.Equal(code, http.StatusOK)
+	is.Equal(body, "POST /a body")
+	limit.Store(40_000)
+	for _, text := range []string{send(5_000), send(500) + send(30_000), send(40_000)} {
+		fmt.Fprint(conn, text)
+		for range strings.Count(text, "POST") {
+			code, body, _ = readResponse(t, br)
+			is.Equal(code, http.StatusOK)
+			is.Equal(body, "POST /a body")
+		}
+	}
+	fmt.Fprint(conn, send(40_001))
+	code, _, _ = readResponse(t, br)
+	is.Equal(code, http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -175,8 +175,9 @@
 // recordInnocent records that a request with the fingerprints ran well.
 func (s *Sidecar) recordInnocent(fps []quarantine.Fingerprint) { s.roster.RecordInnocent(s.ctx, fps) }
 
-// defaultLimits apply until the first policy is received.
-var defaultLimits = route.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+// defaultLimits apply until the first policy is received. Requests get a 503 response until
+// then, so heads may be longer than a policy is likely to allow.
+var defaultLimits = route.Limits{HeaderBytes: 256 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 func (s *Sidecar) limits() route.Limits {
 	if p := s.roster.Snapshot().Policy; p != nil {
