Keep SIGTERM among signals to reload the settings

Cause: one channel with room for one signal took both, and a channel without room drops a signal. Each has its own now.

--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -41,8 +41,7 @@
 // Execute runs the node until SIGINT or SIGTERM.
 func (c *Command) Execute([]string) error {
 	// Until this call, a signal terminates the process at once.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	stop, reload := notifySignals()
 	if c.Settings == "" {
 		c.Settings = os.Getenv(platform.SettingsVariable)
 	}
@@ -74,16 +73,33 @@
 		return err
 	}
 	n.Start()
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	for isStopping := false; !isStopping; {
+		select {
+		case <-stop:
+			isStopping = true
+		case <-reload:
+			c.checkSettings(log)
 		}
-		if _, err := settings.ReadSidecar(c.Settings); err != nil {
-			log.Error(event.Reloaded, "error", gd.Message(err))
-			continue
-		}
-		log.Info(event.Reloaded, "settings", c.Settings)
 	}
 	defer store.Close()
 	return n.Close()
 }
+
+// notifySignals returns the channels of the signals that stop the process, and of those that
+// have it read its settings again. A channel drops signals that it has no room for, so none of
+// the latter may take the room of the former.
+func notifySignals() (stop, reload chan os.Signal) {
+	stop, reload = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(reload, syscall.SIGHUP)
+	return stop, reload
+}
+
+// checkSettings reads the settings again and logs whether they are valid.
+func (c *Command) checkSettings(log hclog.Logger) {
+	if _, err := settings.ReadSidecar(c.Settings); err != nil {
+		log.Error(event.Reloaded, "error", gd.Message(err))
+		return
+	}
+	log.Info(event.Reloaded, "settings", c.Settings)
+}
