Bound the write of each part of a response, not of the whole

Cause: the write deadline, which is there for clients that do not read, was set once for a response. Each part has one now; the request's own deadline bounds the whole, as before. TestLongResponseMayTakeLong.

--- a/internal/http1/listener/conn.go
+++ b/internal/http1/listener/conn.go
@@ -58,12 +58,30 @@
 	return &conn{
 		server: server, nc: nc, limits: limits,
 		br:  bufio.NewReaderSize(nc, max(minReadBufferBytes, min(limits.HeaderBytes, maxFirstBufferBytes))),
-		bw:  bufio.NewWriterSize(nc, writeBufferBytes),
+		bw:  bufio.NewWriterSize(timedWriter{nc}, writeBufferBytes),
 		ctx: ctx, cancel: cancel,
 		pipelined: make(chan struct{}, maxPipelined),
 	}
 }
 
+// timedWriter writes to a connection whose peer must read each part within writeTimeout. A
+// long response may take longer as a whole.
+type timedWriter struct{ nc net.Conn }
+
+// Write writes p.
+func (w timedWriter) Write(p []byte) (int, error) {
+	if err := w.nc.SetWriteDeadline(clock.Deadline(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return w.nc.Write(p)
+}
+
+// ReadFrom writes what it reads from r, in larger parts than the buffer of a bufio.Writer
+// holds.
+func (w timedWriter) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{w}, r)
+}
+
 // serve reads requests until the client closes the connection, a request cannot be
 // read or a response ends the connection.
 func (c *conn) serve() {
@@ -281,10 +299,7 @@
 	if res.ContentLength < 0 {
 		res.TransferEncoding = []string{"chunked"}
 	}
-	err := c.nc.SetWriteDeadline(clock.Deadline(writeTimeout))
-	if err == nil {
-		err = res.Write(c.bw)
-	}
+	err := res.Write(c.bw)
 	if err == nil {
 		err = c.bw.Flush()
 	}
--- a/internal/http1/listener/listener_test.go
+++ b/internal/http1/listener/listener_test.go
@@ -323,3 +323,28 @@
 	code, _, _ = readResponse(t, br)
 	is.Equal(code, http.StatusRequestHeaderFieldsTooLarge)
 }
+
+// deadlineConn is a connection that counts its write deadlines.
+type deadlineConn struct {
+	net.Conn
+	deadlines int
+}
+
+func (c *deadlineConn) SetWriteDeadline(time.Time) error {
+	c.deadlines++
+	return nil
+}
+
+func (c *deadlineConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// TestLongResponseMayTakeLong writes a response in several parts. Each part has a deadline of
+// its own, so that a long response to a slow client is not cut while the client reads it.
+func TestLongResponseMayTakeLong(t *testing.T) {
+	is := is.New(t)
+	nc := &deadlineConn{}
+	w := bufio.NewWriterSize(timedWriter{nc}, writeBufferBytes)
+	res := &http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", 10*writeBufferBytes))), ContentLength: -1, TransferEncoding: []string{"chunked"}}
+	is.NoErr(res.Write(w))
+	is.NoErr(w.Flush())
+	is.True(nc.deadlines > 1)
+}
