Suspect requests for longer if the server has gone silent

Found by reading: a server that falls silent, without closing its connections, is found down only by its next start, some seconds later, when a request whose client had left was no longer suspected. One that did not complete stays a suspect for up to 30 s if the server has responded to nothing since. Two cases of TestSuspectsOfACrash.

--- a/internal/proxy/station/crash.go
+++ b/internal/proxy/station/crash.go
@@ -22,7 +22,11 @@
 	crashWindow = 2 * time.Second
 	// settleTime is the time after a complete response within which a crash may be due
 	// to its request. A request that crashes a server does so while it runs or soon after.
-	settleTime  = 500 * time.Millisecond
+	settleTime = 500 * time.Millisecond
+	// maxSilence is how long requests that did not complete stay suspects after that time if
+	// the server has responded to none since. It may have crashed without closing its
+	// connections.
+	maxSilence  = 30 * time.Second
 	maxSuspects = 64 // requests reported for one crash
 	// maxCompleted is the number of requests with complete responses among them.
 	maxCompleted = 16
@@ -110,7 +114,8 @@
 // passes those that ran well to Config.Innocent. The caller holds s.mu.
 func (s *Station) pruneSuspects(now time.Duration) {
 	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool {
-		if now <= x.until {
+		isSilent := x.ending != completed && s.respondedAt <= x.until
+		if now <= x.until || isSilent && now <= x.until+maxSilence {
 			return false
 		}
 		if x.innocent != nil {
--- a/internal/proxy/station/crash_test.go
+++ b/internal/proxy/station/crash_test.go
@@ -35,6 +35,7 @@
 	for name, c := range map[string]struct {
 		ends    ends
 		before  time.Duration // from the ends to the crash
+		silent  bool          // the server has responded to nothing since
 		running []string
 		want    suspects
 	}{
@@ -43,6 +44,8 @@
 		"interrupted long before":      {ends: ends{"/a": interrupted}, before: crashWindow + time.Millisecond, want: suspects{}},
 		"abandoned":                    {ends: ends{"/a": abandoned}, before: time.Second + crashWindow, want: suspects{"/a": true}},
 		"abandoned long before":        {ends: ends{"/a": abandoned}, before: time.Second + crashWindow + time.Millisecond, want: suspects{}},
+		"abandoned at a silent server": {ends: ends{"/a": abandoned}, before: time.Second + crashWindow + maxSilence, silent: true, want: suspects{"/a": true}},
+		"silent for too long":          {ends: ends{"/a": abandoned}, before: time.Second + crashWindow + maxSilence + time.Millisecond, silent: true, want: suspects{}},
 		"completed":                    {ends: ends{"/a": completed}, before: settleTime, want: suspects{"/a": true}},
 		"completed long before":        {ends: ends{"/a": completed}, before: settleTime + time.Millisecond, want: suspects{}},
 		"interrupted, others complete": {ends: ends{"/a": completed, "/b": interrupted}, want: suspects{"/a": false, "/b": true}},
@@ -68,6 +71,9 @@
 				s.beginExchange(uint64(i), exchangeOf(s, target, "", 0))
 			}
 			clk.Advance(c.before)
+			if !c.silent {
+				s.respondedAt = s.now()
+			}
 			s.markDown(s.now(), nil)
 			want := map[quarantine.Fingerprint]bool{}
 			for target, alone := range c.want {
--- a/internal/proxy/station/notice.go
+++ b/internal/proxy/station/notice.go
@@ -65,6 +65,7 @@
 	if s.server.Instance != sentTo.Instance || s.server.Started != sentTo.Started {
 		return
 	}
+	s.respondedAt = s.now()
 	if err != nil {
 		s.logInvalid(id, err)
 	} else {
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -80,6 +80,7 @@
 	lastID        uint64
 	waiting       map[uint64]chan error // by request; receives nil when a slot is granted
 	running       map[uint64]*exchange  // by request
+	respondedAt   time.Duration         // monotonic time of the server's last response
 	suspects      []suspect
 	unwatched     bool // a request was abandoned since the last call of watchSuspects
 	crashes       uint64
