pool: keep the connection after a request whose body is empty

A request that arrives over HTTP/2 without a body has an empty one. It was written by a goroutine of its own, and if the response was read before that goroutine said that it was done, the connection was closed instead of used again: every such request could cost a connection.

It is written before the response is read now. TestConnectionIsReusedAfterAnEmptyBody: connections opened for 200 requests, 1 now.

--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -98,7 +98,7 @@
 	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
 	c.requests++
 	writeDone := make(chan error, 1)
-	if r.Body == nil || r.Body == http.NoBody {
+	if !hasBody(r) {
 		writeDone <- c.writeRequest(r)
 	} else {
 		go func() { writeDone <- c.writeRequest(r) }()
@@ -117,6 +117,12 @@
 	return Result{Response: res, Reached: true}
 }
 
+// hasBody reports whether the request has a body. The server of HTTP/2 requests gives those
+// without one an empty body.
+func hasBody(r Request) bool {
+	return r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
+}
+
 func closeBody(r *http.Request) {
 	if r.Body != nil {
 		r.Body.Close() // ends the goroutine that writes it
@@ -128,19 +134,18 @@
 func (c *conn) writeRequest(r Request) error {
 	bw := c.bw
 	bw.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	hasBody := r.Body != nil && r.Body != http.NoBody
-	chunked := hasBody && r.ContentLength < 0
+	chunked := hasBody(r) && r.ContentLength < 0
 	switch {
 	case chunked:
 		bw.WriteString("Transfer-Encoding: chunked\r\n")
-	case hasBody || r.ContentLength == 0 && r.Header.Get("Content-Length") == "0":
+	case r.Body != nil && r.Body != http.NoBody || r.ContentLength == 0 && r.Header.Get("Content-Length") == "0":
 		bw.WriteString("Content-Length: " + strconv.FormatInt(r.ContentLength, 10) + "\r\n")
 	}
 	if err := EndToEnd(r.Header).Write(bw); err != nil {
 		return err
 	}
 	bw.WriteString("\r\n")
-	if hasBody {
+	if hasBody(r) {
 		if r.ContentLength < 0 || r.ContentLength > writeBufferBytes {
 			if err := bw.Flush(); err != nil { // the rest of the body may still be on its way from the client
 				return err
--- a/internal/http1/pool/pool_test.go
+++ b/internal/http1/pool/pool_test.go
@@ -88,6 +88,21 @@
 	is.Equal(p.Opened(), uint64(1))
 }
 
+// TestConnectionIsReusedAfterAnEmptyBody sends requests with bodies of length 0, as those have
+// that arrive over HTTP/2. They are written before the response can arrive, so that the
+// connection is always used again.
+func TestConnectionIsReusedAfterAnEmptyBody(t *testing.T) {
+	is := is.New(t)
+	p := newScriptedPool(t, func(n int, c net.Conn) bool { writeResponse(c, fmt.Sprint(n), "x"); return true })
+	for i := range 200 {
+		r := newGetRequest(fmt.Sprint(i+1), true)
+		r.Request.Body = io.NopCloser(strings.NewReader(""))
+		_, err := readResponseBody(p.Do(context.Background(), r))
+		is.NoErr(err)
+	}
+	is.Equal(p.Opened(), uint64(1))
+}
+
 // TestResponsesToOtherRequests has the server send responses that belong to other
 // requests. The pool must not return them.
 func TestResponsesToOtherRequests(t *testing.T) {
