Confirm servers that an earlier process knew, and name cut requests by their length

An announcement that a server sent before it left, and that arrived after all processes had ended, was taken for a new one, so the server was used for good. A server that an earlier process knew must announce itself twice within two intervals now, not once: one that has left does not (TestServerOfAnEarlierProcessMustAnnounceItself).

A request that crashed the server before a kilobyte of its body had been sent was not reported, as nothing told it from others on its path. The length that it states does, in most cases (TestFingerprintOfAPartOfABody, TestStatedLengthIsAShortPrefix). Without an idle connection to watch the station opens one after any request, not only after an abandoned one.

The tests of crashes have servers hold requests until they crash, instead of timing them, and send a bounded number; their servers listen on an address from which no connection is made, as nodes do, since another test took the port of a crashed one.

--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -45,6 +45,9 @@
 		return false
 	}
 	hash := s.hash()
+	if s.r.Body != nil {
+		hash = hash.WithLength(s.r.ContentLength)
+	}
 	if s.r.Body != nil && register.DependsOnBody(now, hash.Head()) {
 		_, _ = hash.Write(s.r.Body.Await(ctx, quarantine.MaxHashedBytes)) // never fails
 	}
--- a/internal/proxy/sidecar/crash_test.go
+++ b/internal/proxy/sidecar/crash_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,34 +49,46 @@
 func TestRequestThatCrashesServersLate(t *testing.T) {
 	large := strings.Repeat("x", 600_000)
 	for name, c := range map[string]struct {
-		point    backend.CrashPoint
-		body     string
-		deadline time.Duration // after which the client leaves, 0 if it stays
+		point  backend.CrashPoint
+		body   string
+		leaves bool // the client leaves when a server runs the request
 	}{
-		"before the response":                    {backend.BeforeResponse, "", 0},
-		"in the response":                        {backend.InResponse, "", 0},
-		"in a response that is forwarded":        {backend.InStream, "", 0},
-		"after the response":                     {backend.AfterResponse, "", 0},
-		"after its client has left":              {backend.AfterCancel, "", 50 * time.Millisecond},
-		"after the client of an upload has left": {backend.AfterCancel, large, 150 * time.Millisecond},
-		"while the body of an upload arrives":    {backend.InRequest, large, 0},
-		"in the response to an upload":           {backend.InResponse, large, 0},
+		"before the response":                    {backend.BeforeResponse, "", false},
+		"in the response":                        {backend.InResponse, "", false},
+		"in a response that is forwarded":        {backend.InStream, "", false},
+		"after the response":                     {backend.AfterResponse, "", false},
+		"after its client has left":              {backend.AfterCancel, "", true},
+		"after the client of an upload has left": {backend.AfterCancel, large, true},
+		"while the body of an upload arrives":    {backend.InRequest, large, false},
+		"in the response to an upload":           {backend.InResponse, large, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
 			f := startFleet(t, fleet.Spec{Nodes: shopNodes(5), Slots: 4})
 			for _, vm := range f.VMs {
 				vm.Server.CrashAt = &c.point
 			}
 			send := func(i int) fleet.Response {
-				ctx := context.Background()
-				if c.deadline > 0 {
-					var cancel context.CancelFunc
-					ctx, cancel = context.WithTimeout(ctx, c.deadline)
-					defer cancel()
-				}
-				return f.Do(ctx, fleet.Request{VM: f.VMs[i%len(f.VMs)], Method: http.MethodPost, Path: "/orders/" + backend.CrashMark, ID: fmt.Sprint("crash-", i), Body: c.body, Deadline: 2 * time.Second})
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				before := runsInAll(f, backend.CrashMark)
+				responses := make(chan fleet.Response, 1)
+				go func() {
+					responses <- f.Do(ctx, fleet.Request{VM: f.VMs[i%len(f.VMs)], Method: http.MethodPost, Path: "/orders/" + backend.CrashMark, ID: fmt.Sprint("crash-", i), Body: c.body})
+				}()
+				var response fleet.Response
+				is.NoErr(fleet.Await("the request runs or ends", func() bool {
+					if c.leaves && runsInAll(f, backend.CrashMark) > before {
+						leave()
+					}
+					select {
+					case response = <-responses:
+						return true
+					default:
+						return false
+					}
+				}))
+				return response
 			}
 			crashes := 0
 			for i := 0; crashes < 3; i++ {
@@ -132,10 +145,9 @@
 		"different bodies, at once": {func(i int) string { return fmt.Sprint("body ", i) }, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
-			const crashes = 4
-			f := startFleet(t, fleet.Spec{Nodes: shopNodes(crashes + 1), Slots: 3, WorkTime: 100 * time.Millisecond})
+			const crashes, maxInFlight = 4, 16
+			f := startFleet(t, fleet.Spec{Nodes: shopNodes(crashes + 1), Slots: 3, WorkTime: 10 * time.Millisecond})
 			sent := 0
 			order := func(vm *fleet.VM) fleet.Request {
 				sent++
@@ -147,12 +159,21 @@
 			time.Sleep(time.Second)
 			var wg sync.WaitGroup
 			occupy := func(vm *fleet.VM) {
+				vm.Server.SetFaults(backend.Faults{Hang: true})
 				before := len(vm.Server.Runs())
-				for i := 0; i < 200 && len(vm.Server.Runs())-before < c.parallel; i++ {
-					r := order(vm)
-					wg.Go(func() { f.Do(context.Background(), r) })
-					time.Sleep(5 * time.Millisecond)
-				}
+				var inFlight atomic.Int64
+				is.NoErr(fleet.Await("requests run", func() bool {
+					running := len(vm.Server.Runs()) - before
+					if running < c.parallel && inFlight.Load() < maxInFlight {
+						r := order(vm)
+						inFlight.Add(1)
+						wg.Go(func() {
+							defer inFlight.Add(-1)
+							f.Do(context.Background(), r)
+						})
+					}
+					return running >= c.parallel
+				}))
 			}
 			for i, vm := range f.VMs[:crashes] {
 				occupy(vm)
@@ -189,7 +210,6 @@
 func TestCrashingRequestAmongOthersOnItsPath(t *testing.T) {
 	for name, prefix := range map[string]string{"short body": "", "long body": strings.Repeat("x", 300_000)} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
 			f := startFleet(t, fleet.Spec{Nodes: shopNodes(4), Slots: 4})
 			point := backend.InResponse
--- a/internal/proxy/station/crash.go
+++ b/internal/proxy/station/crash.go
@@ -95,19 +95,16 @@
 	switch e {
 	case abandoned:
 		until = max(now, x.deadline) + crashWindow
-		s.unwatched = true
 	case completed:
 		until = now + settleTime
 	}
 	fp, head := x.body.fingerprint()
-	if fp == head && !x.body.isComplete() {
-		return // too little was sent to tell the request from others
-	}
 	it := suspect{fingerprint: fp, head: head, ending: e, until: until}
 	if e == completed && x.ranWell {
 		it.innocent = x.body.fingerprints()
 	}
 	s.suspects = append(s.suspects, it)
+	s.unwatched = true
 }
 
 // pruneSuspects drops the suspects to which a crash at now could not be due any more, and
@@ -126,8 +123,8 @@
 }
 
 // watchSuspects checks whether the server still runs while there are suspects: an idle
-// connection that the server has closed may be the only sign of a crash. After a request
-// was abandoned at an otherwise idle server without such a connection, it opens one.
+// connection that the server has closed may be the only sign of a crash. If the server is
+// otherwise idle and the last request has left no such connection, it opens one.
 // The caller holds s.mu.
 func (s *Station) watchSuspects() {
 	s.pruneSuspects(s.now())
--- a/internal/proxy/station/crash_test.go
+++ b/internal/proxy/station/crash_test.go
@@ -18,10 +18,10 @@
 func exchangeOf(s *Station, target, body string, sent int) *exchange {
 	x := &exchange{sentTo: s.server, deadline: s.now() + time.Second}
 	if body == "" {
-		x.body = newSentBody(quarantine.NewHash("web", "GET", target), nil)
+		x.body = newSentBody(quarantine.NewHash("web", "GET", target), nil, 0)
 		return x
 	}
-	x.body = newSentBody(quarantine.NewHash("web", "POST", target), io.NopCloser(strings.NewReader(body)))
+	x.body = newSentBody(quarantine.NewHash("web", "POST", target).WithLength(int64(len(body))), io.NopCloser(strings.NewReader(body)), int64(len(body)))
 	_, _ = io.CopyN(io.Discard, x.body, int64(sent)) // fails at the end of the body
 	return x
 }
@@ -85,7 +85,7 @@
 }
 
 // TestFingerprintOfAPartOfABody interrupts uploads while their bodies are sent. The reports
-// must name the longest prefix with a fingerprint, and none that all uploads share.
+// must name the longest prefix with a fingerprint, or else the length of the body.
 func TestFingerprintOfAPartOfABody(t *testing.T) {
 	body := strings.Repeat("x", 5000)
 	for _, c := range []struct{ sent, want int }{{5001, 5000}, {4999, 4096}, {1024, 1024}, {1023, -1}, {0, -1}} {
@@ -98,7 +98,7 @@
 			s.recordEnding(exchangeOf(s, "/upload", body, c.sent), interrupted)
 			s.markDown(s.now(), nil)
 			if c.want < 0 {
-				is.Equal(len(got), 0)
+				is.Equal(got[0].Fingerprint, quarantine.NewHash("web", "POST", "/upload").WithLength(5000).Longest())
 				return
 			}
 			is.Equal(got[0].Fingerprint, quarantine.FingerprintOf("web", "POST", "/upload", []byte(body[:c.want])))
--- a/internal/proxy/station/exchange.go
+++ b/internal/proxy/station/exchange.go
@@ -36,11 +36,11 @@
 	hash *quarantine.Hash
 }
 
-// newSentBody returns the body of the request with the given hash. If in is nil, the
-// request has no body.
-func newSentBody(hash *quarantine.Hash, in io.ReadCloser) *sentBody {
+// newSentBody returns the body of the request with the given hash and length, -1 if that is
+// unknown. If in is nil or the length is 0, the request has no body.
+func newSentBody(hash *quarantine.Hash, in io.ReadCloser, length int64) *sentBody {
 	b := &sentBody{trackedBody: trackedBody{ReadCloser: in}, hash: hash}
-	if in == nil || in == http.NoBody {
+	if in == nil || in == http.NoBody || length == 0 {
 		b.complete.Store(true)
 	}
 	return b
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -282,7 +282,7 @@
 // or when the body of a streamed response is closed.
 func (s *Station) send(ctx context.Context, id uint64, r request.Request, sentTo platform.Announcement) request.Result {
 	req := s.outgoingRequest(ctx, r, sentTo.Instance)
-	x := &exchange{body: newSentBody(r.Hash(), req.Body), sentTo: sentTo, deadline: s.deadlineOf(ctx)}
+	x := &exchange{body: newSentBody(r.Hash(), req.Body, r.ContentLength), sentTo: sentTo, deadline: s.deadlineOf(ctx)}
 	if req.Body != nil && req.Body != http.NoBody {
 		req.Body = x.body
 	}
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -70,7 +70,8 @@
 	server        platform.Announcement
 	state         server.State
 	known         bool          // a server has announced itself or was adopted
-	adopted       bool          // it was adopted and has not announced itself yet
+	announced     clock.Time    // start of the server that announced itself last to this process
+	confirmBy     time.Duration // monotonic time by which the server must announce itself (again), 0 if it need not
 	drainingSince time.Duration // monotonic time at which the server began to drain or left
 	nodeDraining  bool          // the node itself shuts down
 	stopAt        time.Duration // monotonic time at which the node stops, 0 if not set
@@ -82,7 +83,7 @@
 	running       map[uint64]*exchange  // by request
 	respondedAt   time.Duration         // monotonic time of the server's last response
 	suspects      []suspect
-	unwatched     bool // a request was abandoned since the last call of watchSuspects
+	unwatched     bool // a request has ended since the last call of watchSuspects
 	crashes       uint64
 	probing       bool // a probe is running
 	awaited       awaited
@@ -171,7 +172,13 @@
 		s.queue.RemoveLimit()
 		s.awaited = awaited{isPending: s.isOlderThanProcess(a.Started)}
 	}
-	s.server, s.known, s.adopted = a, true, false
+	s.server, s.known = a, true
+	s.confirmBy = 0
+	if s.announced != a.Started && s.isOlderThanProcess(a.Started) {
+		// It may be a late announcement of a server that has left, which an earlier process knew.
+		s.confirmBy = s.now() + confirmIntervals*s.cfg.AnnounceInterval
+	}
+	s.announced = a.Started
 	s.coldUntil = s.now() + a.ColdStartRemaining
 	s.applySlots()
 	switch {
@@ -221,7 +228,7 @@
 	if started > s.server.Started {
 		s.server = platform.Announcement{Instance: instance, Started: started, Service: s.server.Service, Slots: s.server.Slots}
 	}
-	s.known, s.adopted = true, false
+	s.known, s.confirmBy = true, 0
 	s.lastLeave = leaveNotice{instance, s.cfg.Clock.Now()}
 	s.cfg.Log.Info(event.ServerLeft, "instance", instance, "started", s.server.Started.String(), "before", s.state.String())
 	if s.state != server.Draining {
@@ -238,42 +245,37 @@
 	s.drainingSince = s.now()
 }
 
-// adoptionIntervals is the number of announcements, from the start of the process, within
-// which an adopted server must announce itself.
-const adoptionIntervals = 2
+// confirmIntervals is the number of intervals between announcements within which a server
+// that an earlier process of this node knew must announce itself.
+const confirmIntervals = 2
 
 // Adopt takes over the record that an earlier process of this node published, so
 // that the server is used before its next announcement. The record may be out of date: that
 // process may have acknowledged that the server leaves, and ended before it or another node
-// could publish that. A server that has left announces nothing more, so one that has
-// announced nothing for adoptionIntervals is not used.
+// could publish that. A server that has left announces nothing more, so one that announces
+// nothing within confirmIntervals of the start of this process is not used.
 func (s *Station) Adopt(r server.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.known || s.nodeDraining || s.isAdoptionOver() {
+	confirmBy := s.startedAt + confirmIntervals*s.cfg.AnnounceInterval
+	if s.known || s.nodeDraining || s.now() >= confirmBy {
 		return
 	}
 	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
-	s.known, s.adopted, s.state = true, true, server.Up
+	s.known, s.confirmBy, s.state = true, confirmBy, server.Up
 	s.awaited.isPending = s.isOlderThanProcess(r.Started)
 	s.applySlots()
 	s.publishRecord()
 }
 
-// isAdoptionOver reports whether a server that is up must have announced itself by now. The
-// caller holds s.mu.
-func (s *Station) isAdoptionOver() bool {
-	return s.now()-s.startedAt >= adoptionIntervals*s.cfg.AnnounceInterval
-}
-
-// endAdoption marks an adopted server as lost if it has not announced itself in time. The
-// caller holds s.mu.
-func (s *Station) endAdoption() {
-	if !s.adopted || s.state != server.Up || !s.isAdoptionOver() {
+// loseUnconfirmed marks the server as lost if it was to announce itself by now. The caller
+// holds s.mu.
+func (s *Station) loseUnconfirmed() {
+	if s.confirmBy == 0 || s.state != server.Up || s.now() < s.confirmBy {
 		return
 	}
-	s.adopted = false
-	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", "the server of an earlier process has not announced itself",
+	s.confirmBy = 0
+	s.cfg.Log.Warn(event.ServerDown, "instance", s.server.Instance, "error", "a server that an earlier process knew has not announced itself",
 		"running", len(s.running), "up-for", (s.now() - s.startedAt).String())
 	s.loseServer(gd.WrongInstance.Errorf("the server beside node %s has not announced itself", s.cfg.Node))
 }
@@ -339,7 +341,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.widen()
-	s.endAdoption()
+	s.loseUnconfirmed()
 	s.watchSuspects()
 	for _, it := range s.queue.Expire(s.now()) {
 		s.refuse(it.ID, it.Refusal.Error())
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -266,32 +267,42 @@
 	is.Equal(s.Limit(), 0.0)
 }
 
-// TestAdoptedServerMustAnnounceItself adopts servers that announce themselves in time, late
-// or not at all, and one that is adopted late.
-func TestAdoptedServerMustAnnounceItself(t *testing.T) {
+// TestServerOfAnEarlierProcessMustAnnounceItself adopts servers that announce themselves in
+// time, late or not at all, or has them announce themselves once, as a late announcement of
+// a server that has left would. A server that is younger than the process need not go on.
+func TestServerOfAnEarlierProcessMustAnnounceItself(t *testing.T) {
 	const interval = time.Second
+	const older, younger = clock.Time(1), clock.Time(61_000)
 	for name, c := range map[string]struct {
-		adopted, announced time.Duration // from the start of the process, 0 for never
-		want               []server.State
+		started   clock.Time
+		adopted   time.Duration // from the start of the process, -1 for never
+		announced []time.Duration
+		want      []server.State
 	}{
-		"in time":         {1, interval, []server.State{server.Up}},
-		"never":           {1, 0, []server.State{server.Up, server.Lost}},
-		"late":            {1, 3 * interval, []server.State{server.Up, server.Lost, server.Up}},
-		"adopted late":    {2 * interval, 0, nil},
-		"first announced": {2 * interval, interval, []server.State{server.Up}},
+		"in time":                 {older, 0, []time.Duration{interval, 2 * interval}, []server.State{server.Up}},
+		"never":                   {older, 0, nil, []server.State{server.Up, server.Lost}},
+		"late":                    {older, 0, []time.Duration{3 * interval, 4 * interval}, []server.State{server.Up, server.Lost, server.Up}},
+		"once":                    {older, 0, []time.Duration{interval}, []server.State{server.Up, server.Lost}},
+		"adopted late":            {older, 2 * interval, nil, nil},
+		"announced once":          {older, -1, []time.Duration{interval}, []server.State{server.Up, server.Lost}},
+		"announced twice":         {older, -1, []time.Duration{interval, 2 * interval}, []server.State{server.Up}},
+		"twice, with a pause":     {older, -1, []time.Duration{interval, 5 * interval}, []server.State{server.Up, server.Lost, server.Up}},
+		"announced, then adopted": {older, interval, []time.Duration{0, interval}, []server.State{server.Up}},
+		"younger, announced once": {younger, -1, []time.Duration{2 * interval}, []server.State{server.Up}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			clk := &clock.Fake{}
+			clk.Advance(time.Minute)
 			var states []server.State
 			s := New(Config{Address: "10.0.0.1:1", Drain: time.Second, AnnounceInterval: interval, Clock: clk, Log: hclog.NewNullLogger(),
 				Announce: func(r server.Record) { states = append(states, r.State) }})
-			for at := time.Duration(0); at < 4*interval; at += interval / 4 {
-				if at == c.adopted/interval*interval {
-					s.Adopt(server.Record{Instance: "i", Service: "shop", Slots: 2, Started: 1})
+			for at := time.Duration(0); at < 8*interval; at += interval / 4 {
+				if slices.Contains(c.announced, at) {
+					is.NoErr(s.HandleAnnouncement(announcement(c.started, uint64(1+at))))
 				}
-				if c.announced > 0 && at == c.announced {
-					is.NoErr(s.HandleAnnouncement(announcement(1, 1)))
+				if at == c.adopted {
+					s.Adopt(server.Record{Instance: "i", Service: "shop", Slots: 2, Started: older})
 				}
 				s.expire()
 				clk.Advance(interval / 4)
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -32,6 +32,7 @@
 	ExtraBytes           bool // an unsolicited second response follows each response
 	NoSignature          bool // responses are not signed
 	NoContentLength      bool // responses have no Content-Length and end when the connection closes
+	Hang                 bool // requests run until their callers disconnect or the server crashes
 	Fail                 bool // requests run and get a response with status 500
 	Refuse               bool // requests are refused and their responses marked as not run
 	WrongContentEncoding bool // responses have a Content-Encoding header, although their bodies are not encoded
@@ -334,8 +335,12 @@
 		return // the caller disconnected
 	}
 	s.recordRun(id, r, string(body))
+	workTime := time.After(s.WorkTime)
+	if faults.Hang {
+		workTime = nil
+	}
 	select {
-	case <-time.After(s.WorkTime):
+	case <-workTime:
 	case <-r.Context().Done():
 		s.mu.Lock()
 		s.canceled[id]++
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -26,6 +26,9 @@
 
 const (
 	loopback = "127.0.0.1:0"
+	// serverLoopback is the address on which backend servers listen, for the same reason as
+	// that of nodes.
+	serverLoopback = "127.0.2.1:0"
 	// nodeLoopback is the address on which nodes listen. Outgoing connections use
 	// ports of 127.0.0.1, so none can take the port of a node that restarts.
 	nodeLoopback = "127.0.1.1:0"
@@ -117,7 +120,7 @@
 		Service: n.Service, Instance: fmt.Sprintf("instance-%d", i), Slots: f.spec.Slots, Queue: 4 * f.spec.Slots, WorkTime: f.spec.WorkTime,
 		AnnounceInterval: f.spec.AnnounceInterval,
 	}
-	l, err := net.Listen("tcp", loopback)
+	l, err := net.Listen("tcp", serverLoopback)
 	if err != nil {
 		return nil, gd.Unavailable.Wrapf(err, "listen for backend server")
 	}
@@ -140,9 +143,11 @@
 		Bounds: settings.SidecarBounds{RepeatRatio: &f.spec.RepeatRatio, RepeatSlack: &f.spec.RepeatSlack},
 		Log:    settings.Log{Level: "info"}, LinkMbps: f.spec.LinkMbps,
 	}
-	if interval := f.spec.AnnounceInterval.Seconds(); interval > 0 {
-		s.Server.AnnounceIntervalSeconds = &interval
+	interval := f.spec.AnnounceInterval.Seconds()
+	if interval == 0 {
+		interval = time.Hour.Seconds() // a server need not announce itself again during the test
 	}
+	s.Server.AnnounceIntervalSeconds = &interval
 	if drain > 0 {
 		s.Bounds.DrainSeconds = &drain
 	}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Fingerprint identifies a request and its repeats.
 type Fingerprint uint64
@@ -43,6 +47,17 @@
 	return h
 }
 
+// WithLength adds the length of the body that the request states, -1 for none, and returns h.
+// It counts as a prefix that is shorter than the others: a server may crash before enough of
+// the body has been transferred to tell the request from others.
+func (h *Hash) WithLength(n int64) *Hash {
+	stated := *h.digest
+	_, _ = stated.WriteString("length ")
+	_, _ = stated.WriteString(strconv.FormatInt(n, 10))
+	h.prefixes = append(h.prefixes, Fingerprint(stated.Sum64()))
+	return h
+}
+
 func (h *Hash) sum() Fingerprint { return Fingerprint(h.digest.Sum64()) }
 
 // Write appends p to the body. It never fails.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -133,6 +134,22 @@
 	}
 }
 
+// TestStatedLengthIsAShortPrefix checks that requests whose bodies have not arrived are told
+// apart by the lengths that they state, and by their bodies when these have.
+func TestStatedLengthIsAShortPrefix(t *testing.T) {
+	is := is.New(t)
+	hash := func(length int64, body string) *Hash {
+		h := NewHash("app", "POST", "/tags").WithLength(length)
+		_, _ = h.Write([]byte(body))
+		return h
+	}
+	is.Equal(hash(5, "").Longest(), hash(5, "abcde").Longest())
+	is.True(hash(5, "").Longest() != hash(6, "").Longest())
+	is.True(hash(5, "").Longest() != hash(5, "").Head())
+	is.Equal(hash(5, "abcde").Whole(), FingerprintOf("app", "POST", "/tags", []byte("abcde")))
+	is.True(hash(5000, strings.Repeat("a", 2000)).Longest() != hash(5000, strings.Repeat("b", 2000)).Longest())
+}
+
 // TestOldestReportsAreDropped adds more reports than a register holds. The latest must count,
 // as they may be of a request that crashes servers now.
 func TestOldestReportsAreDropped(t *testing.T) {
