Do not sleep out a pause that was drawn for dead nodes

Cause: the pause until the next poll depends on the nodes that respond, and so does whether a node watches the policy, but a node that had just started drew a pause of 8 to 24 s for 48 records and slept it out. By then it knew the dead ones and was one of the three that watch.

The pause is computed anew when the nodes that respond change.

--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -105,6 +105,29 @@
 	is.Equal(s.r.Snapshot().Nodes(s.r.cfg.Clock.Monotonic()), nodes) // they may be behind a partition
 }
 
+// TestPollIsNotAwaitedForDeadNodes has a node wait for its next poll, which is long since it
+// knows many nodes. When these turn out to be dead it must not go on waiting: it is the only one
+// left to watch the policy.
+func TestPollIsNotAwaitedForDeadNodes(t *testing.T) {
+	is := is.New(t)
+	s, _, _ := stateWith(1000) // a poll every 5 min
+	is.True(!s.r.isWatcher())
+	waited := make(chan struct{})
+	go func() {
+		defer close(waited)
+		s.r.awaitPoll(context.Background())
+	}()
+	for i := 1; i < 1000; i++ {
+		s.recordFailure(nodeName(i))
+		if i%100 == 0 {
+			s.publishSnapshot()
+		}
+	}
+	s.publishSnapshot()
+	<-waited
+	is.True(s.r.isWatcher())
+}
+
 // TestVersionReachesALiveNodeAmongDeadOnes brings a version into force at a node that knows
 // many dead nodes and one live one, and does not know which. The live one must be notified.
 func TestVersionReachesALiveNodeAmongDeadOnes(t *testing.T) {
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -47,9 +47,7 @@
 			return
 		case err == nil:
 			backoff = firstBackoff
-			if !r.isWatcher() {
-				r.sleep(ctx, r.jitter(r.pollInterval()))
-			}
+			r.awaitPoll(ctx)
 			continue
 		case gd.Expired.Is(err):
 			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", gd.Later(cursor.revision, r.policyRevision()).String())
@@ -106,6 +104,26 @@
 	return nil
 }
 
+// awaitPoll waits until the next poll is due, or until this node is one of those that watch
+// the policy. The nodes that respond, on which both depend, may change meanwhile.
+func (r *Roster) awaitPoll(ctx context.Context) {
+	began := r.cfg.Clock.Monotonic()
+	share := float64(r.jitter(time.Second)) / float64(time.Second) // of the interval
+	for ctx.Err() == nil && !r.isWatcher() {
+		left := time.Duration(share*float64(r.pollInterval())) - (r.cfg.Clock.Monotonic() - began)
+		if left <= 0 {
+			return
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-t.C:
+		case <-r.responding:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
 // pollInterval returns the mean pause between two polls of this node. It grows
 // with the number of nodes that respond, so that the rate over all nodes is bounded.
 func (r *Roster) pollInterval() time.Duration {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -66,16 +66,17 @@
 
 // Roster maintains the view of one node. Use New to create one.
 type Roster struct {
-	cfg       Config
-	snapshot  atomic.Pointer[Snapshot]
-	changes   chan func(*state)
-	publish   chan struct{} // wakes publishLoop
-	relist    chan struct{} // wakes followServers
-	era       atomic.Uint64 // of the catalogue, the latest known
-	started   chan struct{} // closed when the first policy is in force
-	tasks     sync.WaitGroup
-	pushSlots chan struct{} // semaphore for pushes in flight
-	slowSlots chan struct{} // the same for pushes to silent nodes
+	cfg        Config
+	snapshot   atomic.Pointer[Snapshot]
+	changes    chan func(*state)
+	publish    chan struct{} // wakes publishLoop
+	relist     chan struct{} // wakes followServers
+	responding chan struct{} // wakes awaitPoll when other nodes respond than before
+	era        atomic.Uint64 // of the catalogue, the latest known
+	started    chan struct{} // closed when the first policy is in force
+	tasks      sync.WaitGroup
+	pushSlots  chan struct{} // semaphore for pushes in flight
+	slowSlots  chan struct{} // the same for pushes to silent nodes
 
 	mu           sync.Mutex // guards the fields below
 	random       *rand.Rand
@@ -134,14 +135,15 @@
 // New returns a Roster. Run starts it.
 func New(cfg Config) *Roster {
 	r := &Roster{
-		cfg:       cfg,
-		changes:   make(chan func(*state), changeBuffer),
-		publish:   make(chan struct{}, 1),
-		relist:    make(chan struct{}, 1),
-		started:   make(chan struct{}),
-		pushSlots: make(chan struct{}, maxPushes),
-		slowSlots: make(chan struct{}, maxSlowPushes),
-		random:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+		cfg:        cfg,
+		changes:    make(chan func(*state), changeBuffer),
+		publish:    make(chan struct{}, 1),
+		relist:     make(chan struct{}, 1),
+		responding: make(chan struct{}, 1),
+		started:    make(chan struct{}),
+		pushSlots:  make(chan struct{}, maxPushes),
+		slowSlots:  make(chan struct{}, maxSlowPushes),
+		random:     rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 	r.snapshot.Store(&Snapshot{})
 	return r
@@ -222,6 +224,12 @@
 		next.Serving = s.directory.Serving()
 	}
 	s.r.snapshot.Store(next)
+	if old.generation != s.silentGeneration {
+		select {
+		case s.r.responding <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // installPolicy decodes a policy and brings it into force if its version is higher
