Name cut requests by their length in the node beside the server too

A request that crashed a server before a kilobyte of its body had been sent was thus reported by its path alone. TestHashBeforeTheBody fails without the change.

--- a/internal/call/request/request.go
+++ b/internal/call/request/request.go
@@ -34,9 +34,13 @@
 	Local        bool          // sent by the node itself, not over the VM's network link
 }
 
-// Hash returns the hash of the request without its body.
+// Hash returns the hash of the request, to which its body is yet to be written.
 func (r Request) Hash() *quarantine.Hash {
-	return quarantine.NewHash(r.Caller, r.Method, r.Host+r.Target)
+	h := quarantine.NewHash(r.Caller, r.Method, r.Host+r.Target)
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return h
+	}
+	return h.WithLength(r.ContentLength)
 }
 
 // Result is the result of an attempt. Exactly one of Response and Err is set.
