--- a/internal/fleet/roster/contact.go
+++ b/internal/fleet/roster/contact.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// setSilent and clearSilent replace the map, which the snapshot shares.
+// setSilent marks the node as silent. It replaces the map, which snapshots share.
 func (s *state) setSilent(node string, x silence) {
 	silent := map[string]silence{node: x}
 	for name, other := range s.silent {
@@ -96,6 +96,7 @@
 	s.silentGeneration++
 }
 
+// clearSilent marks the node as one that responds. It replaces the map.
 func (s *state) clearSilent(node string) {
 	if _, ok := s.silent[node]; ok {
 		s.silent = maps.Clone(s.silent)
--- a/internal/proxy/station/crash.go
+++ b/internal/proxy/station/crash.go
@@ -50,7 +50,7 @@
 	fingerprint, head quarantine.Fingerprint
 	ending            ending
 	until             time.Duration
-	innocent          []quarantine.Fingerprint // all its fingerprints, if it ran well; the server has not crashed if until has passed
+	innocent          []quarantine.Fingerprint // all its fingerprints, if it ran well
 }
 
 // recordFailure records a failed exchange with the server. If the request has reached
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -43,7 +43,7 @@
 	Log              hclog.Logger
 	Random           *rand.Rand
 	Announce         func(server.Record)       // called with each change of the server's record
-	Report           func([]quarantine.Report) // called with the requests in flight when the server crashed
+	Report           func([]quarantine.Report) // called with the requests to which a crash of the server may be due
 	Verdict          func(quarantine.Fingerprint) quarantine.Verdict
 	// Innocent is called with all fingerprints of a request that ran well on a server which
 	// has not crashed since. It must not block.
