--- a/node/node_test.go
+++ b/node/node_test.go
@@ -197,6 +197,30 @@
 	}
 }
 
+// TestResponseHeadCutOff has all servers close the connection within the head of their
+// responses. No client may get that for a complete response with a short or an empty body.
+func TestResponseHeadCutOff(t *testing.T) {
+	is := is.New(t)
+	const response = "HTTP/1.1 200 OK\r\nX-Other: some value\r\nContent-Length: 10\r\n\r\n"
+	var cut atomic.Int32
+	x := startTestFleet(t, 2, func(b *demo.Backend) {
+		b.Handle = func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			fmt.Fprint(conn, response[:cut.Load()])
+		}
+	})
+	for n := range len(response) + 1 {
+		cut.Store(int32(n))
+		r := x.call(x.Nodes[n%2], http.MethodPost, fmt.Sprint("head", n))
+		is.True(r.err != nil || r.status != http.StatusOK)
+	}
+}
+
 func TestRepeatedKeyGetsFirstResponse(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int32
