Write a lost entry again if nothing was written after it

Cause, by the logs: a node took its own entry for missing only in a list later than its write. The node that had written last listed first after the outage, at the very revision of its write, and then not again until its periodic list. A list at that revision is not from before the write, so it counts now (TestOwnEntryIsMissingInTheListAtItsRevision).

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -302,12 +302,12 @@
 
 // markMissing marks the nodes that have no entry in a full list as missing. Nodes
 // whose records have just changed are left out, as they may not have written
-// their entries yet. This node's own entry is missing if the list is later than it.
+// their entries yet. This node's own entry is missing if the list is not from before it.
 func (s *state) markMissing(listed map[string]bool, revision gd.Revision) {
 	now := s.r.cfg.Clock.Monotonic()
 	for _, rec := range s.directory.Records() {
 		if rec.Node == s.r.cfg.Self.Node {
-			if !listed[rec.Node] && revision.After(s.revision) {
+			if !listed[rec.Node] && !s.revision.After(revision) {
 				s.revision = gd.Revision{}
 			}
 			continue
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -473,3 +473,20 @@
 	is.Equal(s.revision, gd.Revision{Number: 5})
 	is.Equal(len(s.r.publish), 1)
 }
+
+// TestOwnEntryIsMissingInTheListAtItsRevision lists the entries at several revisions after the
+// store has lost this node's entry. It must be written again unless the list is from before it,
+// also if nothing has been written since.
+func TestOwnEntryIsMissingInTheListAtItsRevision(t *testing.T) {
+	for _, c := range []struct {
+		listed    uint64
+		isMissing bool
+	}{{2, false}, {3, true}, {4, true}} {
+		is := is.New(t)
+		s, _, _ := stateWith(1)
+		s.own, s.hasOwn = server.Record{Node: nodeName(0), Address: addressOf(nodeName(0)), Service: "shop", Incarnation: 1}, true
+		s.stored, s.revision = s.own, gd.Revision{Number: 3}
+		s.mergeList(serverList{revision: gd.Revision{Number: c.listed}})
+		is.Equal(s.revision.IsZero(), c.isMissing)
+	}
+}
