Log reads of the policy, and how old a version was when it came into force

Refused polls left no line after the first, so bursts and pauses of polls could not be told from bad luck. policy-read has one line for each call of the store for the policy; policy-in-force and geraniumdock_policy_spread_seconds say how long after the first read of a version it came into force; geraniumdock_policy_watcher says who watches. Nothing else changes.

--- a/internal/fleet/roster/contact.go
+++ b/internal/fleet/roster/contact.go
@@ -178,7 +178,7 @@
 // requestRemovals requests a list if the entries of lost nodes are to be removed.
 func (s *state) requestRemovals() {
 	now := s.r.cfg.Clock.Monotonic()
-	if s.removalAt != 0 && now-s.removalAt < removalInterval || !s.r.isWatcher() {
+	if s.removalAt != 0 && now-s.removalAt < removalInterval || !s.r.IsWatcher() {
 		return
 	}
 	for node := range s.silent {
--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -100,7 +100,7 @@
 	slices.Sort(partners)
 	is.Equal(partners, live)
 	is.Equal(s.r.pollInterval(), time.Second)
-	is.True(s.r.isWatcher()) // one of three
+	is.True(s.r.IsWatcher()) // one of three
 	is.Equal(s.r.Snapshot().Responding(), 3)
 	is.Equal(s.r.Snapshot().Nodes(s.r.cfg.Clock.Monotonic()), nodes) // they may be behind a partition
 }
@@ -111,7 +111,7 @@
 func TestPollIsNotAwaitedForDeadNodes(t *testing.T) {
 	is := is.New(t)
 	s, _, _ := stateWith(1000) // a poll every 5 min
-	is.True(!s.r.isWatcher())
+	is.True(!s.r.IsWatcher())
 	waited := make(chan struct{})
 	go func() {
 		defer close(waited)
@@ -125,7 +125,7 @@
 	}
 	s.publishSnapshot()
 	<-waited
-	is.True(s.r.isWatcher())
+	is.True(s.r.IsWatcher())
 }
 
 // TestVersionReachesALiveNodeAmongDeadOnes brings a version into force at a node that knows
@@ -133,7 +133,7 @@
 func TestVersionReachesALiveNodeAmongDeadOnes(t *testing.T) {
 	is := is.New(t)
 	s, network, _ := stateWith(fanOut*maxReplacing+2, nodeName(1))
-	s.installPolicy([]byte("3"), gd.Revision{Number: 1}, "test")
+	s.installPolicy([]byte("3"), gd.Revision{Number: 1}, "test", 0)
 	runChanges(s)
 	is.True(slices.Contains(network.asked, addressOf(nodeName(1))))
 }
--- a/internal/fleet/roster/delta_test.go
+++ b/internal/fleet/roster/delta_test.go
@@ -114,7 +114,7 @@
 		changedAt: map[string]time.Duration{}, heardAt: map[string]time.Duration{},
 	}
 	late := Message{Node: "peer", Version: 6, Checksum: checksumOf([]byte(six)), Delta: delta([]byte(four), []byte(six))}
-	s.installPolicy([]byte(five), gd.Revision{Number: 1}, "store")
+	s.installPolicy([]byte(five), gd.Revision{Number: 1}, "store", 0)
 	s.receive(late)
 	is.Equal(s.version(), uint64(5))
 	is.Equal(string(s.raw), five)
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -72,18 +72,7 @@
 // pollPolicy reads the policy's entry, or its changes since the last call, and
 // installs the policy.
 func (r *Roster) pollPolicy(ctx context.Context, cursor *policyCursor) error {
-	var entries []gd.Entry
-	var err error
-	revision := gd.Later(cursor.revision, r.policyRevision())
-	if cursor.listed {
-		wait := pollWait
-		if r.isWatcher() && !cursor.failed {
-			wait = min(r.pollInterval(), watchWait)
-		}
-		entries, revision, err = r.watch(ctx, r.cfg.PolicyKind, revision, wait)
-	} else {
-		entries, revision, err = r.list(ctx, r.cfg.PolicyKind)
-	}
+	entries, revision, err := r.readPolicy(ctx, *cursor)
 	if err != nil {
 		return err
 	}
@@ -98,18 +87,42 @@
 	*cursor = policyCursor{listed: true, revision: revision}
 	for _, e := range entries {
 		if e.Name == r.cfg.PolicyName && !e.Deleted {
-			r.post(ctx, func(s *state) { s.installPolicy(e.Value, e.Revision, "store") })
+			r.post(ctx, func(s *state) { s.installPolicy(e.Value, e.Revision, "store", 0) })
 		}
 	}
 	return nil
 }
 
+// readPolicy returns the policy's entry if it has changed since the last call, or all entries
+// if there was none.
+func (r *Roster) readPolicy(ctx context.Context, cursor policyCursor) (entries []gd.Entry, revision gd.Revision, err error) {
+	call, after, began := "list", gd.Later(cursor.revision, r.policyRevision()), r.cfg.Clock.Monotonic()
+	if cursor.listed {
+		wait := pollWait
+		call = "poll"
+		if r.IsWatcher() && !cursor.failed {
+			wait = min(r.pollInterval(), watchWait)
+			call = "watch"
+		}
+		entries, revision, err = r.watch(ctx, r.cfg.PolicyKind, after, wait)
+	} else {
+		entries, revision, err = r.list(ctx, r.cfg.PolicyKind)
+	}
+	outcome := "done"
+	if err != nil {
+		outcome = gd.KindOf(err).String()
+	}
+	r.cfg.Log.Info(event.PolicyRead, "call", call, "outcome", outcome, "after", after.String(), "revision", revision.String(),
+		"entries", len(entries), "took", (r.cfg.Clock.Monotonic() - began).String())
+	return entries, revision, err
+}
+
 // awaitPoll waits until the next poll is due, or until this node is one of those that watch
 // the policy. The nodes that respond, on which both depend, may change meanwhile.
 func (r *Roster) awaitPoll(ctx context.Context) {
 	began := r.cfg.Clock.Monotonic()
 	share := float64(r.jitter(time.Second)) / float64(time.Second) // of the interval
-	for ctx.Err() == nil && !r.isWatcher() {
+	for ctx.Err() == nil && !r.IsWatcher() {
 		left := time.Duration(share*float64(r.pollInterval())) - (r.cfg.Clock.Monotonic() - began)
 		if left <= 0 {
 			return
@@ -130,9 +143,9 @@
 	return max(time.Duration(r.snapshot.Load().Responding())*time.Second/pollsPerSecond, minPollInterval)
 }
 
-// isWatcher reports whether this node is one of the few that watch the policy: of the nodes
+// IsWatcher reports whether this node is one of the few that watch the policy: of the nodes
 // that respond, those whose names have the lowest hashes, so that all nodes agree on them.
-func (r *Roster) isWatcher() bool {
+func (r *Roster) IsWatcher() bool {
 	own := xxhash.Sum64String(r.cfg.Self.Node)
 	preceding := 0
 	snapshot := r.snapshot.Load()
@@ -289,7 +302,7 @@
 // so the few nodes that watch the policy do that for all.
 func (s *state) removeUnowned(rec server.Record, revision gd.Revision) {
 	known, ok := s.directory.Record(rec.Node)
-	if !ok || rec.Node == s.r.cfg.Self.Node || !s.r.isWatcher() {
+	if !ok || rec.Node == s.r.cfg.Self.Node || !s.r.IsWatcher() {
 		return
 	}
 	switch {
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -45,6 +45,7 @@
 	RevisionEra uint64              `cbor:"13,keyasint,omitempty"` // era of Revision
 	Era         uint64              `cbor:"14,keyasint,omitempty"` // of the catalogue, the latest that the sender knows
 	Silent      []string            `cbor:"15,keyasint,omitempty"` // nodes that did not respond to the sender
+	Age         uint64              `cbor:"16,keyasint,omitempty"` // milliseconds since a node read the policy in the catalogue first
 }
 
 // gossip exchanges messages with random nodes, one at a time, until ctx ends.
@@ -224,7 +225,7 @@
 		s.r.cfg.Log.Warn(event.PolicyRefused, "source", "node "+m.Node, "error", gd.Message(err), "in-force", s.version())
 		return
 	}
-	s.installPolicy(raw, gd.Revision{Era: m.RevisionEra, Number: m.Revision}, "node "+m.Node)
+	s.installPolicy(raw, gd.Revision{Era: m.RevisionEra, Number: m.Revision}, "node "+m.Node, time.Duration(m.Age)*time.Millisecond)
 	if s.version() == m.Version && m.Policy != nil {
 		s.compressed, s.compressedVersion = m.Policy, m.Version
 	}
@@ -257,6 +258,7 @@
 	if s.raw != nil && m.Version < s.version() {
 		revision := s.r.policyRevision()
 		update.Revision, update.RevisionEra = revision.Number, revision.Era
+		update.Age = uint64((s.r.cfg.Clock.Monotonic() - s.policyReadAt) / time.Millisecond)
 		if m.Version == s.previous.version && m.Checksum == s.previous.checksum && m.Checksum != 0 {
 			update.Delta = s.deltaFromPrevious()
 		} else {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -57,6 +57,7 @@
 type Snapshot struct {
 	Policy      *route.Policy // nil until one is received
 	PolicySince time.Duration // monotonic time since which it is in force
+	PolicyAge   time.Duration // time from the first read of the policy by any node until then
 	Directory   server.Directory
 	Serving     map[string][]server.Record // by service, ordered by node
 	Register    quarantine.Register
@@ -93,8 +94,9 @@
 	ctx              context.Context // ends with Run, and cancels the exchanges in flight
 	policy           *route.Policy
 	policySince      time.Duration
-	raw              []byte // encoded policy, as in the catalogue
-	checksum         uint64 // of raw
+	policyReadAt     time.Duration // when a node read the policy in the catalogue first, without the time that messages took
+	raw              []byte        // encoded policy, as in the catalogue
+	checksum         uint64        // of raw
 	previous         previousPolicy
 	directory        server.Directory
 	register         quarantine.Register
@@ -217,7 +219,7 @@
 		return
 	}
 	next := &Snapshot{
-		Policy: s.policy, PolicySince: s.policySince, Directory: s.directory, Serving: old.Serving, Register: s.register,
+		Policy: s.policy, PolicySince: s.policySince, PolicyAge: s.policySince - s.policyReadAt, Directory: s.directory, Serving: old.Serving, Register: s.register,
 		silent: s.silent, generation: s.silentGeneration,
 	}
 	if old.Directory.Generation() != s.directory.Generation() {
@@ -234,8 +236,8 @@
 
 // installPolicy decodes a policy and brings it into force if its version is higher
 // than the current one. It notifies some random nodes of the version, which then
-// fetch the policy.
-func (s *state) installPolicy(raw []byte, revision gd.Revision, source string) {
+// fetch the policy. The age is the time since a node read that version in the catalogue first.
+func (s *state) installPolicy(raw []byte, revision gd.Revision, source string, age time.Duration) {
 	p, err := s.r.cfg.Decode(raw)
 	if err != nil {
 		s.r.cfg.Log.Error(event.PolicyRefused, "source", source, "error", gd.Message(err), "in-force", s.version())
@@ -247,11 +249,12 @@
 		}
 		return
 	}
-	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source, "revision", revision.String())
+	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source, "revision", revision.String(), "age", age.String())
 	first := s.policy == nil
 	s.previous = previousPolicy{version: s.version(), checksum: s.checksum, raw: s.raw}
 	s.policy, s.raw, s.checksum = p, raw, checksumOf(raw)
 	s.policySince = s.r.cfg.Clock.Monotonic()
+	s.policyReadAt = s.policySince - age
 	s.r.noteRevision(revision)
 	s.publishSnapshot()
 	if first {
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -210,6 +210,13 @@
 		}
 		return (s.cfg.Clock.Monotonic() - snapshot.PolicySince).Seconds()
 	})
+	m.Gauge("geraniumdock_policy_spread_seconds", func() float64 { return s.roster.Snapshot().PolicyAge.Seconds() })
+	m.Gauge("geraniumdock_policy_watcher", func() float64 {
+		if s.roster.IsWatcher() {
+			return 1
+		}
+		return 0
+	})
 	m.Gauge("geraniumdock_nodes", func() float64 { return float64(s.roster.Snapshot().Nodes(s.cfg.Clock.Monotonic())) })
 	m.Gauge("geraniumdock_nodes_responding", func() float64 { return float64(s.roster.Snapshot().Responding()) })
 	m.Gauge("geraniumdock_reported_crashes", func() float64 { return float64(s.Crashes()) })
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -17,6 +17,7 @@
 const (
 	PolicyInForce       = "policy-in-force"
 	PolicyRefused       = "policy-refused"
+	PolicyRead          = "policy-read"  // a call of the store for the policy has ended
 	PolicyOlder         = "policy-older" // the version read is below the one in force
 	ServerSeen          = "server-seen"
 	ServerForgotten     = "server-forgotten"
