roster: a test of versions that are late while the store refuses nodes

In virtual time, 13 and 67 nodes that have started in the same millisecond learn of three versions while the store turns away those that watch and a third to three fifths of all. The bounds are those of the users for 13 and 67 machines.

--- /dev/null
+++ b/internal/fleet/roster/fleet_test.go
@@ -0,0 +1,292 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+// bubbleClock is the clock of a synctest bubble.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() clock.Time          { return clock.Time(time.Now().UnixMilli()) }
+func (c bubbleClock) Monotonic() time.Duration { return time.Since(c.start) + time.Hour }
+
+const (
+	settleTime   = 10 * time.Second // after the start of the nodes
+	oneWayDelay  = 1400 * time.Microsecond
+	storeLatency = 4 * time.Millisecond
+)
+
+// refusal is how a store turns a node away.
+type refusal int
+
+const (
+	served  refusal = iota
+	refused         // calls and waiting watches fail at once
+	ignored         // calls and waiting watches get no response
+)
+
+// fleetStore is a catalogue in memory that turns some of its callers away.
+type fleetStore struct {
+	mu       sync.Mutex
+	entries  map[string]map[string]gd.Entry // by kind and name
+	revision uint64
+	changed  chan struct{} // closed and replaced at each change and each new refusal
+	refusals map[string]refusal
+	calls    int
+}
+
+func newFleetStore() *fleetStore {
+	return &fleetStore{entries: map[string]map[string]gd.Entry{}, changed: make(chan struct{}), refusals: map[string]refusal{}}
+}
+
+// wake ends the waits of all watches. The caller must hold s.mu.
+func (s *fleetStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// refuse turns the nodes away in the given manner.
+func (s *fleetStore) refuse(how refusal, nodes ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, node := range nodes {
+		s.refusals[node] = how
+	}
+	s.wake()
+}
+
+func (s *fleetStore) put(kind, name string, value []byte) gd.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	if s.entries[kind] == nil {
+		s.entries[kind] = map[string]gd.Entry{}
+	}
+	e := gd.Entry{Name: name, Revision: gd.Revision{Era: 1, Number: s.revision}, Value: value}
+	s.entries[kind][name] = e
+	s.wake()
+	return e
+}
+
+// since returns the entries of a kind that have changed after a revision.
+func (s *fleetStore) since(kind string, after uint64) ([]gd.Entry, gd.Revision) {
+	var list []gd.Entry
+	for _, e := range s.entries[kind] {
+		if e.Revision.Number > after {
+			list = append(list, e)
+		}
+	}
+	return list, gd.Revision{Era: 1, Number: s.revision}
+}
+
+// storeClient is the view that a node has of a fleetStore.
+type storeClient struct {
+	store *fleetStore
+	node  string
+}
+
+// call makes a call, which fails if the store turns the node away.
+func (c storeClient) call(ctx context.Context) error {
+	c.store.mu.Lock()
+	c.store.calls++
+	c.store.mu.Unlock()
+	time.Sleep(storeLatency)
+	return c.admit(ctx)
+}
+
+// admit returns an error if the store turns the node away.
+func (c storeClient) admit(ctx context.Context) error {
+	c.store.mu.Lock()
+	how := c.store.refusals[c.node]
+	c.store.mu.Unlock()
+	if how == ignored {
+		<-ctx.Done()
+	}
+	if how != served {
+		return errUnavailable
+	}
+	return ctx.Err()
+}
+
+func (c storeClient) Get(ctx context.Context, kind, name string) (gd.Entry, error) {
+	if err := c.call(ctx); err != nil {
+		return gd.Entry{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	e, ok := c.store.entries[kind][name]
+	if !ok {
+		return gd.Entry{}, gd.NotFound.Errorf("no entry %s", name)
+	}
+	return e, nil
+}
+
+func (c storeClient) List(ctx context.Context, kind string) ([]gd.Entry, gd.Revision, error) {
+	if err := c.call(ctx); err != nil {
+		return nil, gd.Revision{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	list, revision := c.store.since(kind, 0)
+	return list, revision, nil
+}
+
+func (c storeClient) ListStale(ctx context.Context, kind string) ([]gd.Entry, error) {
+	list, _, err := c.List(ctx, kind)
+	return list, err
+}
+
+func (c storeClient) Watch(ctx context.Context, kind string, revision gd.Revision, wait time.Duration) ([]gd.Entry, gd.Revision, error) {
+	if err := c.call(ctx); err != nil {
+		return nil, gd.Revision{}, err
+	}
+	end := time.After(wait)
+	for {
+		c.store.mu.Lock()
+		list, latest := c.store.since(kind, revision.Number)
+		changed := c.store.changed
+		c.store.mu.Unlock()
+		if len(list) > 0 {
+			return list, latest, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, latest, nil
+		case <-ctx.Done():
+			return nil, gd.Revision{}, ctx.Err()
+		}
+		if err := c.admit(ctx); err != nil {
+			return nil, gd.Revision{}, err
+		}
+	}
+}
+
+func (c storeClient) Put(ctx context.Context, kind, name string, value []byte, _ gd.Revision) (gd.Entry, error) {
+	if err := c.call(ctx); err != nil {
+		return gd.Entry{}, err
+	}
+	return c.store.put(kind, name, value), nil
+}
+
+func (c storeClient) Delete(ctx context.Context, kind, name string, _ gd.Revision) error {
+	return c.call(ctx)
+}
+
+// fleetNetwork connects rosters. Messages to or from a node that is cut off are lost.
+type fleetNetwork struct {
+	mu    sync.Mutex
+	nodes map[string]*Roster // by address
+	slow  map[string]bool    // by address: does not respond in time
+}
+
+func (f *fleetNetwork) Exchange(ctx context.Context, address string, m Message) (Message, error) {
+	f.mu.Lock()
+	r, slow := f.nodes[address], f.slow[address]
+	f.mu.Unlock()
+	if slow || r == nil {
+		<-ctx.Done()
+		return Message{}, ctx.Err()
+	}
+	time.Sleep(oneWayDelay)
+	reply := r.HandleMessage(ctx, m)
+	time.Sleep(oneWayDelay)
+	return reply, ctx.Err()
+}
+
+// fleet is a fleet of rosters in the virtual time of a synctest bubble.
+type fleet struct {
+	store   *fleetStore
+	network *fleetNetwork
+	names   []string
+	rosters map[string]*Roster
+	random  *rand.Rand
+	stop    func()
+}
+
+// newFleet starts n rosters within 0.3 s, all with the same seed, as nodes have that start in
+// the same millisecond. It returns when they have found each other.
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{
+		store: newFleetStore(), network: &fleetNetwork{nodes: map[string]*Roster{}, slow: map[string]bool{}},
+		rosters: map[string]*Roster{}, random: rand.New(rand.NewPCG(seed, 7)),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	clk := bubbleClock{time.Now()}
+	var running sync.WaitGroup
+	f.store.put("config", "main", []byte("1"))
+	for i := range n {
+		self := server.Record{Node: fmt.Sprintf("vm-%d-%d", seed, i), Service: "shop", DataCentre: fmt.Sprint("dc-", i%4), Incarnation: 1}
+		self.Address = self.Node + ":1"
+		r := New(Config{
+			Self: self, Catalogue: storeClient{f.store, self.Node}, PolicyKind: "config", PolicyName: "main", ServerKind: "servers",
+			Decode: decodeVersion, Exchanger: f.network, Clock: clk, Log: hclog.NewNullLogger(), Seed: seed,
+		})
+		f.names = append(f.names, self.Node)
+		f.rosters[self.Node] = r
+		delay := time.Duration(f.random.Int64N(int64(300 * time.Millisecond)))
+		running.Go(func() {
+			time.Sleep(delay)
+			f.network.mu.Lock()
+			f.network.nodes[self.Address] = r
+			f.network.mu.Unlock()
+			r.Announce(ctx, self)
+			_ = r.Run(ctx)
+		})
+	}
+	f.stop = func() { cancel(); running.Wait() }
+	time.Sleep(settleTime)
+	return f
+}
+
+// watchers returns the names of the n nodes that watch the policy in calm.
+func (f *fleet) watchers(n int) []string {
+	names := slices.Clone(f.names)
+	slices.SortFunc(names, func(a, b string) int {
+		if xxhash.Sum64String(a) < xxhash.Sum64String(b) {
+			return -1
+		}
+		return 1
+	})
+	return names[:n]
+}
+
+// refuse has the store turn away the nodes that watch and a share of all nodes.
+func (f *fleet) refuse(how refusal, share float64) {
+	f.store.refuse(how, f.watchers(watcherCount)...)
+	rest := slices.Clone(f.names)
+	f.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	f.store.refuse(how, rest[:int(share*float64(len(rest)))]...)
+}
+
+// change writes a version and returns how long it takes until all nodes have it, at most limit.
+func (f *fleet) change(version uint64, limit time.Duration) time.Duration {
+	f.store.put("config", "main", fmt.Append(nil, version))
+	began := time.Now()
+	for ; time.Since(began) < limit; time.Sleep(10 * time.Millisecond) {
+		if !slices.ContainsFunc(f.names, func(node string) bool {
+			p := f.rosters[node].Snapshot().Policy
+			return p == nil || p.Version < version
+		}) {
+			break
+		}
+	}
+	return time.Since(began)
+}
+
+// String returns a word for the manner.
+func (r refusal) String() string {
+	return [...]string{served: "served", refused: "refused", ignored: "ignored"}[r]
+}
--- /dev/null
+++ b/internal/fleet/roster/spread_test.go
@@ -0,0 +1,49 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// spreadBounds are the longest times until a version is in force on all nodes, by their number.
+var spreadBounds = map[int]time.Duration{
+	13:  2 * time.Second,
+	67:  2500 * time.Millisecond,
+	195: 3 * time.Second,
+	451: 13 * time.Second,
+}
+
+// TestVersionsAreLateWhileTheStoreRefusesNodes guards against versions that no node reads in time
+// while the store turns away the nodes that watch and most others.
+func TestVersionsAreLateWhileTheStoreRefusesNodes(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		how   refusal
+		share float64
+	}{
+		{13, served, 0}, {13, refused, 0.35}, {13, refused, 0.6}, {13, ignored, 0.35},
+		{67, served, 0}, {67, refused, 0.35}, {67, refused, 0.6}, {67, ignored, 0.35},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d-nodes/%v/%.2f/%d", c.nodes, c.how, c.share, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(c.nodes, seed)
+					defer f.stop()
+					time.Sleep(time.Duration(f.random.Int64N(int64(20 * time.Second))))
+					if c.share > 0 {
+						f.refuse(c.how, c.share)
+					}
+					for i := range uint64(3) {
+						time.Sleep(2 * time.Second)
+						if took := f.change(i+2, 30*time.Second); took > spreadBounds[c.nodes] {
+							t.Errorf("version %d was in force on all %d nodes after %v, want %v", i+2, c.nodes, took, spreadBounds[c.nodes])
+						}
+					}
+				})
+			})
+		}
+	}
+}
