Draw different random numbers in nodes that start together

Cause: a random source was seeded with the time of the start in milliseconds alone. They then drew the same numbers, so they polled the store together (16 refused polls within 0.1 s, then none for 10 s), chose the same partners to gossip with and to tell of a version, and the same servers to try first. The class is randomness that is meant to keep nodes apart and does not differ between them.

The seed is derived from the node's name too, in the roster, the ingress of the sidecar and, for the same cause, the sources of serve and its client of the store.

--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -21,6 +21,7 @@
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/demo"
 	"github.com/geraniumdock/geraniumdock/identity"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/seed"
 	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
 	"github.com/geraniumdock/geraniumdock/internal/store/object"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
@@ -83,12 +84,12 @@
 	if err != nil {
 		return node.Config{}, err
 	}
-	seed := uint64(clock.System{}.Now())
+	start := uint64(clock.System{}.Now())
 	return node.Config{
 		DataCentre:           s.DataCentre,
 		Region:               s.Region,
 		Identity:             id,
-		Store:                object.NewClient(object.NewCatalogueStore(platform.NewStore(s.Platform.Address, &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns})), clock.System{}, s.Platform.CallsPerSecond, seed),
+		Store:                object.NewClient(object.NewCatalogueStore(platform.NewStore(s.Platform.Address, &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns})), clock.System{}, s.Platform.CallsPerSecond, seed.ForNode(id.Node(), start)),
 		Clock:                clock.System{},
 		Log:                  log,
 		CallsAddress:         s.Listen.Calls,
@@ -102,7 +103,7 @@
 		GatherDelay:          s.GatherDelay,
 		ClaimWritesPerSecond: s.Platform.ClaimWritesPerSecond,
 		DrainTimeout:         s.DrainTimeout,
-		RandomSeed:           seed,
+		RandomSeed:           start,
 	}, nil
 }
 
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -17,6 +17,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/seed"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -44,7 +45,7 @@
 	Exchanger  Exchanger
 	Clock      gd.Clock
 	Log        hclog.Logger
-	Seed       uint64
+	Seed       uint64 // of the random source, together with the node's name
 	OnHeard    func(node string)   // called for each message of another node
 	OnAdoption func(server.Record) // called with a record of this node that an earlier process wrote
 	OnLeave    func(server.Record) // called with a later record of an adopted server that is draining or has left
@@ -145,7 +146,7 @@
 		started:    make(chan struct{}),
 		pushSlots:  make(chan struct{}, maxPushes),
 		slowSlots:  make(chan struct{}, maxSlowPushes),
-		random:     rand.New(rand.NewPCG(cfg.Seed, 0)),
+		random:     rand.New(rand.NewPCG(seed.ForNode(cfg.Self.Node, cfg.Seed), 0)),
 	}
 	r.snapshot.Store(&Snapshot{})
 	return r
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/seed"
 	"github.com/geraniumdock/geraniumdock/internal/http1/listener"
 	"github.com/geraniumdock/geraniumdock/internal/proxy/ingress"
 	"github.com/geraniumdock/geraniumdock/internal/proxy/peer"
@@ -126,7 +127,7 @@
 		Limits:    retryBudget(st.Bounds),
 		Clock:     cfg.Clock,
 		Log:       cfg.Log,
-		Random:    rand.New(rand.NewPCG(cfg.Seed, 1)),
+		Random:    rand.New(rand.NewPCG(seed.ForNode(st.Node, cfg.Seed), 1)),
 		OnLeaving: func(r server.Record) { s.roster.MarkDraining(s.ctx, r) },
 		Observe: func(o ingress.Outcome) {
 			cfg.Meter.CountRequest(meter.Request{Status: o.Status, Route: o.Route, Duration: o.Took, NodesAsked: o.NodesAsked, ServersReached: o.Reached})
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/identity"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/seed"
 	"github.com/geraniumdock/geraniumdock/link"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -44,7 +45,7 @@
 	GatherDelay          time.Duration // how long a relay collects changes before it pushes them
 	ClaimWritesPerSecond float64       // maximum claim writes per second
 	DrainTimeout         time.Duration // maximum time that Close waits for calls in flight
-	RandomSeed           uint64        // seed of the random sources
+	RandomSeed           uint64        // seed of the random sources, together with the node's name
 }
 
 // Node is a running daemon. Create it with New.
@@ -89,6 +90,7 @@
 
 // New creates a node and binds its addresses. Call Start to serve.
 func New(cfg Config) (*Node, error) {
+	cfg.RandomSeed = seed.ForNode(cfg.Identity.Node(), cfg.RandomSeed)
 	n := &Node{
 		cfg:          cfg,
 		name:         cfg.Identity.Node(),
