Watch the policy in place of nodes that the store refuses

Cause: the three nodes with the lowest hashes watch, whether or not the store serves them. While it refuses them only polls are left, three a second over the fleet, of which it refuses a share too.

A node that watches and is refused marks itself as refused for 5 s and tells the next ones in the order of hashes, with all that it knows to be refused. If they are refused too they do the same, so the watch reaches three served nodes within a few calls of 4 ms, unless the first 15 are all refused. A refused node that has a policy no longer calls the store again after 0.1 to 1 s: it waits for its next poll, or for the end of its mark if it is to watch.

--- a/internal/fleet/roster/contact.go
+++ b/internal/fleet/roster/contact.go
@@ -93,7 +93,7 @@
 		}
 	}
 	s.silent = silent
-	s.silentGeneration++
+	s.reachGeneration++
 }
 
 // clearSilent marks the node as one that responds. It replaces the map.
@@ -101,7 +101,7 @@
 	if _, ok := s.silent[node]; ok {
 		s.silent = maps.Clone(s.silent)
 		delete(s.silent, node)
-		s.silentGeneration++
+		s.reachGeneration++
 	}
 }
 
@@ -178,13 +178,15 @@
 // requestRemovals requests a list if the entries of lost nodes are to be removed.
 func (s *state) requestRemovals() {
 	now := s.r.cfg.Clock.Monotonic()
-	if s.removalAt != 0 && now-s.removalAt < removalInterval || !s.r.IsWatcher() {
+	if s.removalAt != 0 && now-s.removalAt < removalInterval {
 		return
 	}
 	for node := range s.silent {
 		if rec, ok := s.directory.Record(node); ok && s.isRemovable(rec) {
-			s.removalAt = now
-			s.r.wakeLister()
+			if s.r.IsWatcher() {
+				s.removalAt = now
+				s.r.wakeLister()
+			}
 			return
 		}
 	}
--- a/internal/fleet/roster/fleet_test.go
+++ b/internal/fleet/roster/fleet_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -254,12 +255,7 @@
 // watchers returns the names of the n nodes that watch the policy in calm.
 func (f *fleet) watchers(n int) []string {
 	names := slices.Clone(f.names)
-	slices.SortFunc(names, func(a, b string) int {
-		if xxhash.Sum64String(a) < xxhash.Sum64String(b) {
-			return -1
-		}
-		return 1
-	})
+	sortCandidates(names)
 	return names[:n]
 }
 
@@ -290,3 +286,8 @@
 func (r refusal) String() string {
 	return [...]string{served: "served", refused: "refused", ignored: "ignored"}[r]
 }
+
+// sortCandidates sorts the names of nodes by the order in which they watch the policy.
+func sortCandidates(names []string) {
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+}
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -14,7 +12,6 @@
 
 const (
 	callTimeout     = 2 * time.Second        // of a catalogue call; a watch gets its wait in addition
-	watcherCount    = 3                      // number of nodes that watch the policy
 	watchWait       = 20 * time.Second       // longest wait of a watch for a change
 	pollWait        = time.Millisecond       // longest wait of a poll for a change
 	pollsPerSecond  = 3                      // over all nodes
@@ -57,6 +54,11 @@
 			r.cfg.Log.Warn(event.StoreLost, "kind", r.cfg.PolicyKind, "error", gd.Message(err))
 			cursor.failed = true
 		}
+		r.handOver(ctx)
+		if r.Snapshot().Policy != nil {
+			r.awaitPoll(ctx) // other nodes read later versions meanwhile
+			continue
+		}
 		r.sleep(ctx, r.jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -81,6 +83,9 @@
 		r.cfg.Log.Info(event.StoreListed, "kind", r.cfg.PolicyKind, "revision", revision.String(), "in-force", r.policyRevision().String())
 	}
 	if cursor.failed {
+		r.post(ctx, func(s *state) {
+			s.clearRefused(func(node string, _ time.Duration) bool { return node == r.cfg.Self.Node })
+		})
 		r.cfg.Log.Info(event.StoreRegained, "kind", r.cfg.PolicyKind)
 		r.wakeLister() // server entries may have expired in the meantime
 	}
@@ -143,20 +148,6 @@
 	return max(time.Duration(r.snapshot.Load().Responding())*time.Second/pollsPerSecond, minPollInterval)
 }
 
-// IsWatcher reports whether this node is one of the few that watch the policy: of the nodes
-// that respond, those whose names have the lowest hashes, so that all nodes agree on them.
-func (r *Roster) IsWatcher() bool {
-	own := xxhash.Sum64String(r.cfg.Self.Node)
-	preceding := 0
-	snapshot := r.snapshot.Load()
-	for _, rec := range snapshot.Directory.Records() {
-		if rec.Node != r.cfg.Self.Node && rec.State != server.Gone && !snapshot.IsSilent(rec.Node) && xxhash.Sum64String(rec.Node) < own {
-			preceding++
-		}
-	}
-	return preceding < watcherCount
-}
-
 // followServers lists the server records at the start, periodically, and when the
 // catalogue is available again. In between, nodes push changes to each other. The
 // periodic lists may be stale; if an entry is missing in one, a current list follows.
@@ -360,6 +351,7 @@
 	}
 	s.expireReports()
 	s.expireSilences()
+	s.expireRefused()
 	s.requestRemovals()
 }
 
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -45,6 +45,7 @@
 	RevisionEra uint64              `cbor:"13,keyasint,omitempty"` // era of Revision
 	Era         uint64              `cbor:"14,keyasint,omitempty"` // of the catalogue, the latest that the sender knows
 	Silent      []string            `cbor:"15,keyasint,omitempty"` // nodes that did not respond to the sender
+	Refused     []string            `cbor:"17,keyasint,omitempty"` // nodes that the catalogue refuses, in place of which the receiver is to watch
 	Age         uint64              `cbor:"16,keyasint,omitempty"` // milliseconds since a node read the policy in the catalogue first
 }
 
@@ -171,6 +172,7 @@
 		}
 	}
 	s.recordHearsay(m.Silent)
+	s.recordRefused(m.Refused)
 	s.enterEra(m.Era, "node "+m.Node)
 	if m.Version > s.version() {
 		if m.Policy != nil || m.Delta != nil {
--- /dev/null
+++ b/internal/fleet/roster/refusal.go
@@ -0,0 +1,119 @@
+package roster
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
+	"github.com/geraniumdock/geraniumdock/server"
+)
+
+const (
+	watcherCount = 3 // number of nodes that watch the policy
+	// candidateCount is the number of nodes that watch in place of others which the catalogue
+	// refuses, these included. If it refuses them all, the polls have to do.
+	candidateCount = 15
+	// refusedTTL is how long a node that the catalogue has refused watches nothing. It tries
+	// again before the others count on it, which is hearsayMargin later.
+	refusedTTL    = 5 * time.Second
+	hearsayMargin = time.Second
+)
+
+// handOver records that the catalogue refuses this node. If the node watches the policy, it has
+// the next ones watch in its place. If they are refused as well they do the same, so that the
+// watch reaches nodes that the catalogue serves within a few calls.
+func (r *Roster) handOver(ctx context.Context) {
+	done := make(chan struct{})
+	r.post(ctx, func(s *state) {
+		defer close(done)
+		watched := r.IsWatcher()
+		s.setRefused(refusedTTL, r.cfg.Self.Node)
+		s.publishSnapshot()
+		if !watched {
+			return
+		}
+		next := r.watchers()
+		r.cfg.Log.Info(event.WatchHandedOver, "refused", len(s.refused), "to", nodesOf(next))
+		s.pushTo(next, Message{Refused: slices.Collect(maps.Keys(s.refused))})
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// nodesOf returns the nodes of the records.
+func nodesOf(records []server.Record) []string {
+	var nodes []string
+	for _, rec := range records {
+		nodes = append(nodes, rec.Node)
+	}
+	return nodes
+}
+
+// recordRefused records that the catalogue refuses the nodes, by the word of another node.
+func (s *state) recordRefused(nodes []string) {
+	others := slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return node == s.r.cfg.Self.Node })
+	if len(others) > 0 {
+		s.setRefused(refusedTTL+hearsayMargin, others...)
+	}
+}
+
+// setRefused marks the nodes as refused for ttl. It replaces the map, which snapshots share.
+func (s *state) setRefused(ttl time.Duration, nodes ...string) {
+	s.refused = maps.Clone(s.refused)
+	if s.refused == nil {
+		s.refused = map[string]time.Duration{}
+	}
+	for _, node := range nodes {
+		s.refused[node] = s.r.cfg.Clock.Monotonic() + ttl
+	}
+	s.reachGeneration++
+}
+
+// clearRefused marks the nodes that meet cond as served.
+func (s *state) clearRefused(cond func(node string, until time.Duration) bool) {
+	refused := maps.Clone(s.refused)
+	maps.DeleteFunc(refused, cond)
+	if len(refused) != len(s.refused) {
+		s.refused = refused
+		s.reachGeneration++
+	}
+}
+
+// expireRefused drops the marks that have expired.
+func (s *state) expireRefused() {
+	now := s.r.cfg.Clock.Monotonic()
+	s.clearRefused(func(_ string, until time.Duration) bool { return now >= until })
+}
+
+// isRefused reports whether the catalogue refuses the node.
+func (s *Snapshot) isRefused(node string) bool {
+	_, ok := s.refused[node]
+	return ok
+}
+
+// watchers returns the few nodes that watch the policy. The candidates are the nodes that
+// respond whose names have the lowest hashes, so that all nodes agree on them; the first ones
+// that the catalogue does not refuse watch.
+func (r *Roster) watchers() []server.Record {
+	snapshot := r.snapshot.Load()
+	others := slices.DeleteFunc(snapshot.Directory.Records(), func(rec server.Record) bool {
+		return rec.Node == r.cfg.Self.Node || rec.State == server.Gone || snapshot.IsSilent(rec.Node)
+	})
+	candidates := append(others, r.cfg.Self)
+	slices.SortFunc(candidates, func(a, b server.Record) int {
+		return cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node))
+	})
+	candidates = candidates[:min(candidateCount, len(candidates))]
+	served := slices.DeleteFunc(candidates, func(rec server.Record) bool { return snapshot.isRefused(rec.Node) })
+	return served[:min(watcherCount, len(served))]
+}
+
+// IsWatcher reports whether this node is one of the few that watch the policy.
+func (r *Roster) IsWatcher() bool { return slices.Contains(nodesOf(r.watchers()), r.cfg.Self.Node) }
--- /dev/null
+++ b/internal/fleet/roster/refusal_test.go
@@ -0,0 +1,76 @@
+package roster
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// watcherAmong returns the state of the node among n that is at the given place in the order of
+// the candidates.
+func watcherAmong(n, place int) *state {
+	var names []string
+	for i := range n {
+		names = append(names, nodeName(i))
+	}
+	s, _, _ := stateWith(n, names...)
+	sortCandidates(names)
+	s.r.cfg.Self.Node = names[place]
+	return s
+}
+
+// TestRefusedNodeCountsAsWatcher guards against nodes that the store refuses and in place of
+// which no other node watches the policy.
+func TestRefusedNodeCountsAsWatcher(t *testing.T) {
+	is := is.New(t)
+	s := watcherAmong(100, watcherCount)
+	is.True(!s.r.IsWatcher())
+	first := nodesOf(s.r.watchers())
+	s.receive(Message{Push: true, Refused: first[:1]})
+	s.publishSnapshot()
+	is.True(s.r.IsWatcher())
+	is.Equal(nodesOf(s.r.watchers()), append(first[1:], s.r.cfg.Self.Node))
+	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedTTL + hearsayMargin)
+	s.expire()
+	s.publishSnapshot()
+	is.True(!s.r.IsWatcher()) // unless it is told again
+}
+
+// TestRefusedWatcherTellsTheNext has the store refuse a node that watches. It must tell the
+// nodes that are to watch then, try again later, and give up if all candidates are refused.
+func TestRefusedWatcherTellsTheNext(t *testing.T) {
+	is := is.New(t)
+	s := watcherAmong(100, 0)
+	network := s.r.cfg.Exchanger.(*deadNetwork)
+	handOver := func() {
+		done := make(chan struct{})
+		go func() { defer close(done); s.r.handOver(context.Background()) }()
+		(<-s.r.changes)(s)
+		<-done
+		runChanges(s)
+	}
+	handOver()
+	is.True(!s.r.IsWatcher())
+	next := s.r.watchers()
+	is.Equal(len(next), watcherCount)
+	for _, rec := range next {
+		is.True(slices.Contains(network.asked, rec.Address))
+	}
+	network.asked = nil
+	handOver() // does not watch, so it tells nobody
+	is.Equal(len(network.asked), 0)
+
+	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedTTL)
+	s.expire()
+	s.publishSnapshot()
+	is.True(s.r.IsWatcher())
+
+	names := nodesOf(s.directory.Records())
+	sortCandidates(names)
+	s.recordRefused(names[1:candidateCount])
+	handOver()
+	is.Equal(len(s.r.watchers()), 0)
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -45,7 +45,7 @@
 	Exchanger  Exchanger
 	Clock      gd.Clock
 	Log        hclog.Logger
-	Seed       uint64 // of the random source, together with the node's name
+	Seed       uint64              // of the random source, together with the node's name
 	OnHeard    func(node string)   // called for each message of another node
 	OnAdoption func(server.Record) // called with a record of this node that an earlier process wrote
 	OnLeave    func(server.Record) // called with a later record of an adopted server that is draining or has left
@@ -63,7 +63,8 @@
 	Serving     map[string][]server.Record // by service, ordered by node
 	Register    quarantine.Register
 	silent      map[string]silence
-	generation  uint64 // of silent
+	refused     map[string]time.Duration
+	generation  uint64 // of silent and refused
 }
 
 // Roster maintains the view of one node. Use New to create one.
@@ -73,7 +74,7 @@
 	changes    chan func(*state)
 	publish    chan struct{} // wakes publishLoop
 	relist     chan struct{} // wakes followServers
-	responding chan struct{} // wakes awaitPoll when other nodes respond than before
+	responding chan struct{} // wakes awaitPoll when other nodes respond, or are refused, than before
 	era        atomic.Uint64 // of the catalogue, the latest known
 	started    chan struct{} // closed when the first policy is in force
 	tasks      sync.WaitGroup
@@ -91,36 +92,37 @@
 // state is the mutable state of a Roster. Only the control goroutine, which runs
 // Run, accesses it.
 type state struct {
-	r                *Roster
-	ctx              context.Context // ends with Run, and cancels the exchanges in flight
-	policy           *route.Policy
-	policySince      time.Duration
-	policyReadAt     time.Duration // when a node read the policy in the catalogue first, without the time that messages took
-	raw              []byte        // encoded policy, as in the catalogue
-	checksum         uint64        // of raw
-	previous         previousPolicy
-	directory        server.Directory
-	register         quarantine.Register
-	spread           map[quarantine.Report]bool // refuted reports that another node has sent
-	own              server.Record              // record that this process announced last
-	hasOwn           bool                       // own is set
-	adopted          server.Record              // record of an earlier process of this node, passed to OnAdoption
-	stored           server.Record              // record in this node's catalogue entry
-	revision         gd.Revision                // of this node's catalogue entry, zero if there is none
-	storedWaiters    []chan struct{}            // closed when stored is own
-	changedAt        map[string]time.Duration   // by node: when its record was last replaced
-	missingSince     map[string]time.Duration   // by node: since when the catalogue has no entry for it
-	listedAt         time.Duration              // when the last list that is not stale was requested
-	confirmedAt      time.Duration              // when expire requested a list last
-	heardAt          map[string]time.Duration   // by node: when its last message arrived
-	silent           map[string]silence         // by node: nodes that do not respond; replaced as a whole
-	silentGeneration uint64                     // increases when silent is replaced
-	removalAt        time.Duration              // when requestRemovals requested a list last
-	forgotten        map[string]server.Record   // by node: records dropped, so that other nodes do not restore them
-	left             bool                       // Leave was called
-	keepsEntry       bool                       // the catalogue entry is left for the next process of this node
-	announced        uint64                     // Roster.latestNumber when a record was announced last
-	fetching         uint64                     // version of the policy that is being fetched from another node, 0 for none
+	r               *Roster
+	ctx             context.Context // ends with Run, and cancels the exchanges in flight
+	policy          *route.Policy
+	policySince     time.Duration
+	policyReadAt    time.Duration // when a node read the policy in the catalogue first, without the time that messages took
+	raw             []byte        // encoded policy, as in the catalogue
+	checksum        uint64        // of raw
+	previous        previousPolicy
+	directory       server.Directory
+	register        quarantine.Register
+	spread          map[quarantine.Report]bool // refuted reports that another node has sent
+	own             server.Record              // record that this process announced last
+	hasOwn          bool                       // own is set
+	adopted         server.Record              // record of an earlier process of this node, passed to OnAdoption
+	stored          server.Record              // record in this node's catalogue entry
+	revision        gd.Revision                // of this node's catalogue entry, zero if there is none
+	storedWaiters   []chan struct{}            // closed when stored is own
+	changedAt       map[string]time.Duration   // by node: when its record was last replaced
+	missingSince    map[string]time.Duration   // by node: since when the catalogue has no entry for it
+	listedAt        time.Duration              // when the last list that is not stale was requested
+	confirmedAt     time.Duration              // when expire requested a list last
+	heardAt         map[string]time.Duration   // by node: when its last message arrived
+	silent          map[string]silence         // by node: nodes that do not respond; replaced as a whole
+	refused         map[string]time.Duration   // by node: until when it is taken to be refused by the catalogue; replaced as a whole
+	reachGeneration uint64                     // increases when silent or refused is replaced
+	removalAt       time.Duration              // when requestRemovals requested a list last
+	forgotten       map[string]server.Record   // by node: records dropped, so that other nodes do not restore them
+	left            bool                       // Leave was called
+	keepsEntry      bool                       // the catalogue entry is left for the next process of this node
+	announced       uint64                     // Roster.latestNumber when a record was announced last
+	fetching        uint64                     // version of the policy that is being fetched from another node, 0 for none
 
 	compressed        []byte // compressed form of raw, sent to other nodes
 	compressedVersion uint64 // version of the policy in compressed
@@ -216,18 +218,18 @@
 // publishSnapshot stores a new snapshot if the state has changed.
 func (s *state) publishSnapshot() {
 	old := s.r.snapshot.Load()
-	if old.Policy == s.policy && old.Directory.Generation() == s.directory.Generation() && old.Register.Generation() == s.register.Generation() && old.generation == s.silentGeneration {
+	if old.Policy == s.policy && old.Directory.Generation() == s.directory.Generation() && old.Register.Generation() == s.register.Generation() && old.generation == s.reachGeneration {
 		return
 	}
 	next := &Snapshot{
 		Policy: s.policy, PolicySince: s.policySince, PolicyAge: s.policySince - s.policyReadAt, Directory: s.directory, Serving: old.Serving, Register: s.register,
-		silent: s.silent, generation: s.silentGeneration,
+		silent: s.silent, refused: s.refused, generation: s.reachGeneration,
 	}
 	if old.Directory.Generation() != s.directory.Generation() {
 		next.Serving = s.directory.Serving()
 	}
 	s.r.snapshot.Store(next)
-	if old.generation != s.silentGeneration {
+	if old.generation != s.reachGeneration {
 		select {
 		case s.r.responding <- struct{}{}:
 		default:
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -17,8 +17,9 @@
 const (
 	PolicyInForce       = "policy-in-force"
 	PolicyRefused       = "policy-refused"
-	PolicyRead          = "policy-read"  // a call of the store for the policy has ended
-	PolicyOlder         = "policy-older" // the version read is below the one in force
+	PolicyRead          = "policy-read"       // a call of the store for the policy has ended
+	PolicyOlder         = "policy-older"      // the version read is below the one in force
+	WatchHandedOver     = "watch-handed-over" // the store refuses this node, others watch in its place
 	ServerSeen          = "server-seen"
 	ServerForgotten     = "server-forgotten"
 	ServerAnnounced     = "server-announced"
