Spread the polls of the policy evenly, and have them wait for a change

43 of 60 nodes polled within 0.1 s in TestNodesPollTogether, when they found that half of the nodes do not respond: each had drawn its place in the pause, which became shorter for all, and most places were then over. Afterwards none polls for half a pause. With the store silent to the nodes that watch, a version waits for the next poll.

Pauses are drawn from the exponential distribution and go on at the new mean, so the polls of the fleet stay a Poisson process at three a second whatever becomes of the mean. A poll waits up to 2 s for a change, at the cost of one call as before, so that some polls of served nodes are pending at any time. The test passes.

--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -256,3 +258,44 @@
 		})
 	}
 }
+
+// TestNodesPollTogether guards against nodes that poll at the same moment, and then not for
+// long, since all of them have found at once that fewer nodes respond.
+func TestNodesPollTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, dead = 60, 60
+		var mu sync.Mutex
+		var polls []time.Duration
+		began := time.Now()
+		var running sync.WaitGroup
+		for i := range nodes {
+			s, _, _ := stateWith(2 * nodes)
+			s.r.cfg.Clock = bubbleClock{began}
+			s.r.random = rand.New(rand.NewPCG(uint64(i), 0))
+			s.r.cfg.Self.Node = "zz" // not among the candidates
+			running.Go(func() {
+				s.r.awaitPoll(context.Background())
+				mu.Lock()
+				defer mu.Unlock()
+				polls = append(polls, time.Since(began))
+			})
+			running.Go(func() {
+				time.Sleep(30 * time.Second)
+				for i := range dead {
+					s.recordFailure(nodeName(i + 1))
+				}
+				s.publishSnapshot()
+			})
+		}
+		running.Wait()
+		together := 0
+		for _, at := range polls {
+			if at >= 30*time.Second && at < 30100*time.Millisecond {
+				together++
+			}
+		}
+		if together > 3 {
+			t.Errorf("%d of %d nodes polled within 0.1 s, want at most 3", together, nodes)
+		}
+	})
+}
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -13,7 +13,7 @@
 const (
 	callTimeout     = 2 * time.Second        // of a catalogue call; a watch gets its wait in addition
 	watchWait       = 20 * time.Second       // longest wait of a watch for a change
-	pollWait        = time.Millisecond       // longest wait of a poll for a change
+	pollWait        = 2 * time.Second        // longest wait of a poll for a change
 	pollsPerSecond  = 3                      // over all nodes
 	minPollInterval = time.Second            // lower limit for one node, which knows no other nodes when it starts
 	listInterval    = 15 * time.Second       // mean pause between lists of the server records
@@ -123,26 +123,28 @@
 }
 
 // awaitPoll waits until the next poll is due, or until this node is one of those that watch
-// the policy. The nodes that respond, on which both depend, may change meanwhile.
+// the policy. The nodes that respond, on which both depend, may change meanwhile. Pauses are
+// distributed exponentially: a change of their mean then makes no nodes poll together.
 func (r *Roster) awaitPoll(ctx context.Context) {
-	began := r.cfg.Clock.Monotonic()
-	share := float64(r.jitter(time.Second)) / float64(time.Second) // of the interval
-	for ctx.Err() == nil && !r.IsWatcher() {
-		left := time.Duration(share*float64(r.pollInterval())) - (r.cfg.Clock.Monotonic() - began)
-		if left <= 0 {
-			return
-		}
-		t := time.NewTimer(left)
+	left := r.exponential() // in mean pauses
+	for ctx.Err() == nil && !r.IsWatcher() && left > 0 {
+		began, pause := r.cfg.Clock.Monotonic(), r.pollPause()
+		t := time.NewTimer(time.Duration(left * float64(pause)))
 		select {
 		case <-t.C:
+			return
 		case <-r.responding:
 		case <-ctx.Done():
 		}
 		t.Stop()
+		left -= float64(r.cfg.Clock.Monotonic()-began) / float64(pause)
 	}
 }
 
-// pollInterval returns the mean pause between two polls of this node. It grows
+// pollPause returns the mean pause between two polls of this node.
+func (r *Roster) pollPause() time.Duration { return max(r.pollInterval()-pollWait, minPollInterval) }
+
+// pollInterval returns the mean time from one poll of this node to the next. It grows
 // with the number of nodes that respond, so that the rate over all nodes is bounded.
 func (r *Roster) pollInterval() time.Duration {
 	return max(time.Duration(r.snapshot.Load().Responding())*time.Second/pollsPerSecond, minPollInterval)
@@ -221,6 +223,13 @@
 	return d/2 + time.Duration(r.randomN(int64(d)))
 }
 
+// exponential returns an exponentially distributed random number with a mean of 1.
+func (r *Roster) exponential() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.ExpFloat64()
+}
+
 // randomN returns a random number in [0, n).
 func (r *Roster) randomN(n int64) int64 {
 	r.mu.Lock()
