Fetch a version from a second node if the first one is slow

A node that was told of a version by several others asked the first one, and none of the others until that exchange ended, after up to 1.5 s if the node is on a full link, stops or hangs. TestSlowNodeHoldsUpTheFetchOfAVersion has one node of two not respond: the version was not in force after 0.35 s.

The nodes that offer the version are remembered, and the next one is asked after 0.3 s or when an exchange ends without the version.

--- /dev/null
+++ b/internal/fleet/roster/fetch_test.go
@@ -0,0 +1,36 @@
+package roster
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSlowNodeHoldsUpTheFetchOfAVersion guards against a version that is fetched from one node
+// only, which does not respond in time, though others have it.
+func TestSlowNodeHoldsUpTheFetchOfAVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(6, 1)
+		defer f.stop()
+		f.store.refuse(ignored, f.names...)
+		time.Sleep(20 * time.Second) // until all calls of the store have ended
+		slow, other, behind := f.names[0], f.names[1], f.rosters[f.names[2]]
+		for _, node := range []string{slow, other} {
+			send(f.rosters[node], policyMessage(5))
+		}
+		f.network.mu.Lock()
+		for _, node := range f.names {
+			f.network.slow[addressOf(node)] = node != other
+		}
+		f.network.mu.Unlock()
+		is.True(behind.Snapshot().Policy.Version < 5)
+		for _, node := range []string{slow, other} {
+			send(behind, Message{Node: node, Push: true, Version: 5})
+		}
+		time.Sleep(fetchPatience + 50*time.Millisecond)
+		is.Equal(behind.Snapshot().Policy.Version, uint64(5))
+	})
+}
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -177,8 +177,8 @@
 	if m.Version > s.version() {
 		if m.Policy != nil || m.Delta != nil {
 			s.receivePolicy(m)
-		} else if rec, ok := s.directory.Record(m.Node); ok && m.Push && s.fetching < m.Version {
-			s.fetchPolicy(rec, m.Version)
+		} else if rec, ok := s.directory.Record(m.Node); ok && m.Push {
+			s.offerPolicy(rec, m.Version)
 		}
 	}
 	s.merge(slices.DeleteFunc(slices.Clone(m.Records), func(r server.Record) bool { return !s.isNodeRecord(r, m.Node) }), m.Node)
@@ -195,21 +195,6 @@
 	return err == nil
 }
 
-// fetchPolicy fetches the policy of the given version from another node.
-// Until the exchange ends, no other node is asked for that version.
-func (s *state) fetchPolicy(from server.Record, version uint64) {
-	s.fetching = version
-	query := s.summary()
-	s.r.tasks.Go(func() {
-		s.r.exchange(s.ctx, from, query)
-		s.r.post(s.ctx, func(s *state) {
-			if s.fetching == version {
-				s.fetching = 0
-			}
-		})
-	})
-}
-
 // receivePolicy installs the policy that a message carries, whole or as a delta.
 func (s *state) receivePolicy(m Message) {
 	var raw []byte
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -122,7 +122,7 @@
 	left            bool                       // Leave was called
 	keepsEntry      bool                       // the catalogue entry is left for the next process of this node
 	announced       uint64                     // Roster.latestNumber when a record was announced last
-	fetching        uint64                     // version of the policy that is being fetched from another node, 0 for none
+	fetch           policyFetch
 
 	compressed        []byte // compressed form of raw, sent to other nodes
 	compressedVersion uint64 // version of the policy in compressed
