Tell other nodes up to which revision the policy was read

A node of many polls seldom, every 65 s with 195 nodes.

Messages between nodes say up to which revision the version in force is known to be the latest. A node with the same version and checksum polls from there. None is read now.

--- a/internal/fleet/roster/fleet_test.go
+++ b/internal/fleet/roster/fleet_test.go
@@ -27,6 +27,7 @@
 	settleTime   = 10 * time.Second // after the start of the nodes
 	oneWayDelay  = 1400 * time.Microsecond
 	storeLatency = 4 * time.Millisecond
+	storeHistory = 20 * time.Second
 )
 
 // refusal is how a store turns a node away.
@@ -46,10 +47,12 @@
 	changed  chan struct{} // closed and replaced at each change and each new refusal
 	refusals map[string]refusal
 	calls    int
+	listed   map[string]int // by kind: lists that were not refused
+	times    []time.Time    // of the changes
 }
 
 func newFleetStore() *fleetStore {
-	return &fleetStore{entries: map[string]map[string]gd.Entry{}, changed: make(chan struct{}), refusals: map[string]refusal{}}
+	return &fleetStore{entries: map[string]map[string]gd.Entry{}, changed: make(chan struct{}), refusals: map[string]refusal{}, listed: map[string]int{}}
 }
 
 // wake ends the waits of all watches. The caller must hold s.mu.
@@ -72,6 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.times = append(s.times, time.Now())
 	if s.entries[kind] == nil {
 		s.entries[kind] = map[string]gd.Entry{}
 	}
@@ -92,6 +96,13 @@
 	return list, gd.Revision{Era: 1, Number: s.revision}
 }
 
+// isHistoryGone reports whether a change after the given revision is no longer in the history.
+func (s *fleetStore) isHistoryGone(after uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return after < s.revision && time.Since(s.times[after]) > storeHistory
+}
+
 // storeClient is the view that a node has of a fleetStore.
 type storeClient struct {
 	store *fleetStore
@@ -140,6 +151,7 @@
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
+	c.store.listed[kind]++
 	list, revision := c.store.since(kind, 0)
 	return list, revision, nil
 }
@@ -153,6 +165,9 @@
 	if err := c.call(ctx); err != nil {
 		return nil, gd.Revision{}, err
 	}
+	if c.store.isHistoryGone(revision.Number) {
+		return nil, gd.Revision{}, gd.Expired.Errorf("the history after revision %s is gone", revision)
+	}
 	end := time.After(wait)
 	for {
 		c.store.mu.Lock()
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -47,7 +47,7 @@
 			r.awaitPoll(ctx)
 			continue
 		case gd.Expired.Is(err):
-			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", gd.Later(cursor.revision, r.policyRevision()).String())
+			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", gd.Later(cursor.revision, r.checkedRevision()).String())
 			cursor.listed = false
 			continue
 		case !cursor.failed:
@@ -90,18 +90,21 @@
 		r.wakeLister() // server entries may have expired in the meantime
 	}
 	*cursor = policyCursor{listed: true, revision: revision}
-	for _, e := range entries {
-		if e.Name == r.cfg.PolicyName && !e.Deleted {
-			r.post(ctx, func(s *state) { s.installPolicy(e.Value, e.Revision, "store", 0) })
+	r.post(ctx, func(s *state) {
+		for _, e := range entries {
+			if e.Name == r.cfg.PolicyName && !e.Deleted && !s.installPolicy(e.Value, e.Revision, "store", 0) {
+				return
+			}
 		}
-	}
+		s.r.noteChecked(revision)
+	})
 	return nil
 }
 
 // readPolicy returns the policy's entry if it has changed since the last call, or all entries
 // if there was none.
 func (r *Roster) readPolicy(ctx context.Context, cursor policyCursor) (entries []gd.Entry, revision gd.Revision, err error) {
-	call, after, began := "list", gd.Later(cursor.revision, r.policyRevision()), r.cfg.Clock.Monotonic()
+	call, after, began := "list", gd.Later(cursor.revision, r.checkedRevision()), r.cfg.Clock.Monotonic()
 	if cursor.listed {
 		wait := pollWait
 		call = "poll"
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -46,6 +46,8 @@
 	Era         uint64              `cbor:"14,keyasint,omitempty"` // of the catalogue, the latest that the sender knows
 	Silent      []string            `cbor:"15,keyasint,omitempty"` // nodes that did not respond to the sender
 	Refused     []string            `cbor:"17,keyasint,omitempty"` // nodes that the catalogue refuses, in place of which the receiver is to watch
+	Checked     uint64              `cbor:"18,keyasint,omitempty"` // number of the catalogue's revision up to which Version is the latest
+	CheckedEra  uint64              `cbor:"19,keyasint,omitempty"` // era of that revision
 	Age         uint64              `cbor:"16,keyasint,omitempty"` // milliseconds since a node read the policy in the catalogue first
 }
 
@@ -90,7 +92,10 @@
 
 // summary returns a message that describes what this node has.
 func (s *state) summary() Message {
+	checked := s.r.checkedRevision()
 	return Message{
+		Checked:     checked.Number,
+		CheckedEra:  checked.Era,
 		Node:        s.r.cfg.Self.Node,
 		Era:         s.r.era.Load(),
 		Version:     s.version(),
@@ -181,6 +186,9 @@
 			s.offerPolicy(rec, m.Version)
 		}
 	}
+	if m.Version == s.version() && m.Checksum == s.checksum {
+		s.r.noteChecked(gd.Revision{Era: m.CheckedEra, Number: m.Checked})
+	}
 	s.merge(slices.DeleteFunc(slices.Clone(m.Records), func(r server.Record) bool { return !s.isNodeRecord(r, m.Node) }), m.Node)
 	s.mergeReports(m.Reports)
 }
--- a/internal/fleet/roster/revision.go
+++ b/internal/fleet/roster/revision.go
@@ -21,6 +21,21 @@
 	r.revision = gd.Later(r.revision, revision)
 }
 
+// checkedRevision returns the revision of the catalogue up to which the policy in force is
+// known to be the latest one.
+func (r *Roster) checkedRevision() gd.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return gd.Later(r.checked, r.revision)
+}
+
+// noteChecked records that the policy in force is the latest one up to a revision.
+func (r *Roster) noteChecked(revision gd.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checked = gd.Later(r.checked, revision)
+}
+
 // noteEra records the era of a response of the catalogue.
 func (r *Roster) noteEra(ctx context.Context, era uint64) {
 	if era > r.era.Load() {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -86,6 +86,7 @@
 	latest       server.Record // record announced last
 	latestNumber uint64        // number of records announced
 	revision     gd.Revision   // of the entry with the policy in force
+	checked      gd.Revision   // up to which the policy in force is known to be the latest one
 	innocent     quarantine.Completed
 }
 
@@ -240,17 +241,18 @@
 // installPolicy decodes a policy and brings it into force if its version is higher
 // than the current one. It notifies some random nodes of the version, which then
 // fetch the policy. The age is the time since a node read that version in the catalogue first.
-func (s *state) installPolicy(raw []byte, revision gd.Revision, source string, age time.Duration) {
+// It reports whether the policy could be decoded.
+func (s *state) installPolicy(raw []byte, revision gd.Revision, source string, age time.Duration) bool {
 	p, err := s.r.cfg.Decode(raw)
 	if err != nil {
 		s.r.cfg.Log.Error(event.PolicyRefused, "source", source, "error", gd.Message(err), "in-force", s.version())
-		return
+		return false
 	}
 	if s.policy != nil && p.Version <= s.policy.Version {
 		if p.Version < s.policy.Version {
 			s.r.cfg.Log.Info(event.PolicyOlder, "version", p.Version, "in-force", s.version(), "source", source, "revision", revision.String())
 		}
-		return
+		return true
 	}
 	s.r.cfg.Log.Info(event.PolicyInForce, "version", p.Version, "before", s.version(), "routes", p.Len(), "source", source, "revision", revision.String(), "age", age.String())
 	first := s.policy == nil
@@ -264,6 +266,7 @@
 		close(s.r.started)
 	}
 	s.notify(fanOut)
+	return true
 }
 
 // version returns the version of the policy in force, 0 if there is none.
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -47,3 +47,21 @@
 		}
 	}
 }
+
+// TestPollsReadAnUnchangedPolicyAgain guards against polls that read all of the policy though it
+// has not changed, because other entries have and the history of the store has passed the
+// position of the poll.
+func TestPollsReadAnUnchangedPolicyAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(67, 1)
+		defer f.stop()
+		before := f.store.listed["config"]
+		for range 60 {
+			time.Sleep(time.Second)
+			f.store.put("other", "entry", nil)
+		}
+		if n := f.store.listed["config"] - before; n > 0 {
+			t.Errorf("the policy was read %d times in 60 s, want none", n)
+		}
+	})
+}
