--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -19,6 +19,7 @@
 	listInterval    = 15 * time.Second       // mean pause between lists of the server records
 	firstBackoff    = 100 * time.Millisecond // mean pause before the first retry of a failed call
 	maxBackoff      = time.Second
+	maxListBackoff  = 5 * time.Second // the same for lists after the first one
 	expiryInterval  = 250 * time.Millisecond
 	// missingTimeout is the time within which a node whose entry is missing in
 	// the catalogue must write it again or send a message.
@@ -155,14 +156,15 @@
 
 // followServers lists the server records at the start, periodically, and when the
 // catalogue is available again. In between, nodes push changes to each other. The
-// periodic lists may be stale; if an entry is missing in one, a current list follows.
+// periodic lists may be stale; if an entry is missing in one, a current list follows. A node
+// that the catalogue refuses learns of changes from others, so it may try again more seldom.
 func (r *Roster) followServers(ctx context.Context) {
-	backoff := firstBackoff
+	backoff, longest := firstBackoff, maxBackoff
 	isStale := false
 	for ctx.Err() == nil {
 		list, err := r.listServers(ctx, isStale)
 		if err == nil {
-			backoff = firstBackoff
+			backoff, longest = firstBackoff, maxListBackoff
 			r.noteEra(ctx, list.revision.Era)
 			r.post(ctx, func(s *state) { s.mergeList(list) })
 			select {
@@ -176,7 +178,7 @@
 		}
 		r.cfg.Log.Warn(event.StoreLost, "kind", r.cfg.ServerKind, "error", gd.Message(err))
 		r.sleep(ctx, r.jitter(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, longest)
 	}
 }
 
