--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -1,9 +1,11 @@
 package node_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -170,3 +172,49 @@
 		n.Kill()
 	}
 }
+
+// TestCallTakenLateInTheDrainIsCut guards against calls whose heads arrive while the node closes,
+// and which it passes on and cuts without a response when it ends.
+func TestCallTakenLateInTheDrainIsCut(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	x := startTestFleet(t, 2, func(b *demo.Backend) {
+		b.Handle = func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			fmt.Fprint(w, r.Header.Get(demo.IDHeader))
+		}
+	})
+	const late = 20
+	n := x.Nodes[0]
+	conns := map[string]net.Conn{}
+	calls := map[string]*bytes.Buffer{}
+	for i := range late {
+		id := fmt.Sprint("late", i)
+		conn, err := net.Dial("tcp", n.CallsAddress())
+		is.NoErr(err)
+		defer conn.Close()
+		conns[id], calls[id] = conn, &bytes.Buffer{}
+		is.NoErr(x.request(n, http.MethodPost, id, nil).Write(calls[id]))
+		_, err = conn.Write(calls[id].Next(10))
+		is.NoErr(err)
+	}
+	first := make(chan result)
+	go func() { first <- x.call(n, http.MethodPost, "first") }()
+	x.await("the first call runs", func() bool { return len(x.runs()) == 1 })
+	closed := make(chan struct{})
+	go func() { defer close(closed); n.Close() }()
+	x.await("others see it leave", func() bool { return x.Nodes[1].ServerCount("tags") == 1 })
+	for id, conn := range conns {
+		_, _ = calls[id].WriteTo(conn) // the node may have closed the connection
+	}
+	close(release)
+	is.Equal((<-first).body, "first")
+	for id, conn := range conns {
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Minute)))
+		_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if runs := x.runs()[id]; err != nil && runs > 0 {
+			t.Errorf("call %s ran %d times and got no response: %v", id, runs, err)
+		}
+	}
+	<-closed
+}
