pool: do not send a repeat on a connection that has carried its first attempt

A server refused the first attempt of a request and wrote that refusal once more on the kept connection. The repeat has the same id, so the refusal passed for its response: 'not run', while the server ran it (TestRefusalWrittenAgainForARepeat: 503, now 200). A connection remembers the ids of its last 16 requests, and a request with one of them goes on another connection.

--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -38,8 +39,16 @@
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	requests    int
+	ids         [rememberedIDs]string // of the last requests
 }
 
+// rememberedIDs is the number of requests whose ids a connection remembers. A late second
+// response to one of them cannot be told from the response to a repeat with the same id.
+const rememberedIDs = 16
+
+// hasCarried reports whether one of the last requests on the connection had the id.
+func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.ids[:], id) }
+
 func newConn(p *Pool, nc net.Conn) *conn {
 	in := &limitedReader{r: nc}
 	return &conn{pool: p, nc: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), bw: bufio.NewWriterSize(nc, writeBufferBytes), idleTimeout: maxIdleTimeout}
@@ -96,6 +105,7 @@
 // goes back to the pool or is closed when the response body is closed.
 func (c *conn) roundTrip(ctx context.Context, r Request) Result {
 	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
+	c.ids[c.requests%rememberedIDs] = r.ID
 	c.requests++
 	writeDone := make(chan error, 1)
 	if !hasBody(r) {
--- a/internal/http1/pool/faulty_test.go
+++ b/internal/http1/pool/faulty_test.go
@@ -1,11 +1,13 @@
 package pool
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +116,52 @@
 		}
 	}
 }
+
+// TestRefusalWrittenAgainForARepeat guards against a refusal of a first attempt that the server
+// writes once more, and that is taken for the response to the repeat, which has the same id.
+func TestRefusalWrittenAgainForARepeat(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	var attempts atomic.Int32
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		br := bufio.NewReader(conn)
+		for n := 1; ; n++ {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			switch {
+			case attempts.Add(1) == 1:
+				fmt.Fprint(conn, refusal)
+			case n > 1:
+				fmt.Fprint(conn, refusal)
+				fallthrough
+			default:
+				writeResponse(conn, "1", "own")
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	p := New(l.Addr().String(), func(h http.Header) string { return h.Get("Id") })
+	defer p.Close()
+	first := p.Do(context.Background(), newGetRequest("1", false))
+	is.NoErr(first.Err)
+	is.Equal(first.Response.StatusCode, http.StatusServiceUnavailable)
+	is.NoErr(first.Response.Body.Close())
+	repeat := p.Do(context.Background(), newGetRequest("1", false))
+	body, err := readResponseBody(repeat)
+	is.NoErr(err)
+	is.Equal(repeat.Response.StatusCode, http.StatusOK)
+	is.Equal(body, "own")
+}
--- a/internal/http1/pool/pool.go
+++ b/internal/http1/pool/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -81,7 +82,7 @@
 // Do sends a request and returns its response after reading the header. When ctx ends
 // the connection is closed, so that the server stops working on the request.
 func (p *Pool) Do(ctx context.Context, r Request) Result {
-	c, err := p.get(ctx, r.Idempotent)
+	c, err := p.get(ctx, r)
 	if err != nil {
 		return Result{Err: err}
 	}
@@ -115,10 +116,10 @@
 	return true, false
 }
 
-// get returns a reusable idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context, idempotent bool) (*conn, error) {
+// get returns a reusable idle connection for the request or opens a new one.
+func (p *Pool) get(ctx context.Context, r Request) (*conn, error) {
 	for {
-		c := p.takeIdle(idempotent)
+		c := p.takeIdle(r)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -129,24 +130,28 @@
 	}
 }
 
-func (p *Pool) takeIdle(idempotent bool) *conn {
+// takeIdle removes the idle connection that was used last, of those that have not carried a
+// request with the id of r. It closes the connections that have been idle for too long.
+func (p *Pool) takeIdle(r Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
+	for i, c := range slices.Backward(p.idle) {
 		age := clock.Since(c.lastUsed)
-		if age < c.idleTimeout {
-			if !idempotent && age > maxNonIdempotentIdle {
-				return nil // the other connections have been idle for longer
+		if age >= c.idleTimeout {
+			for _, old := range p.idle[:i+1] {
+				old.nc.Close()
 			}
-			p.idle = p.idle[:len(p.idle)-1]
-			return c
+			p.idle = slices.Delete(p.idle, 0, i+1)
+			return nil
+		}
+		if !r.Idempotent && age > maxNonIdempotentIdle {
+			return nil // the other connections have been idle for longer
 		}
-		for _, old := range p.idle {
-			old.nc.Close()
+		if !c.hasCarried(r.ID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
 		}
-		p.idle = nil
 	}
 	return nil
 }
