--- a/internal/fleet/roster/contact.go
+++ b/internal/fleet/roster/contact.go
@@ -151,7 +151,7 @@
 // Responding returns the number of known nodes that respond, including this one.
 func (s *Snapshot) Responding() int {
 	n := 0
-	for _, rec := range s.Directory.Records() {
+	for rec := range s.Directory.All() {
 		if !s.IsSilent(rec.Node) {
 			n++
 		}
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -77,7 +77,7 @@
 // randomNodes returns the records of up to n random other nodes that respond.
 func (s *state) randomNodes(n int) []server.Record {
 	var others []server.Record
-	for _, rec := range s.directory.Records() {
+	for rec := range s.directory.All() {
 		if _, isSilent := s.silent[rec.Node]; !isSilent && rec.Node != s.r.cfg.Self.Node && rec.Address != s.r.cfg.Self.Address {
 			others = append(others, rec)
 		}
--- a/server/record.go
+++ b/server/record.go
@@ -6,8 +6,10 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"iter"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -92,6 +94,31 @@
 type Directory struct {
 	records    map[string]Record
 	generation uint64
+	derived    *derived // nil if there are no records
+}
+
+// derived holds what is computed from the records of a Directory when first needed.
+type derived struct {
+	once    sync.Once
+	sorted  []Record // by node
+	digests []uint32
+}
+
+// newDirectory returns a directory with the records, which it keeps.
+func newDirectory(records map[string]Record, generation uint64) Directory {
+	return Directory{records, generation, &derived{}}
+}
+
+// derive returns what is computed from the records. It must not be changed.
+func (d Directory) derive() *derived {
+	if d.derived == nil {
+		return &derived{digests: make([]uint32, digestBuckets)}
+	}
+	d.derived.once.Do(func() {
+		d.derived.sorted = slices.SortedFunc(maps.Values(d.records), func(a, b Record) int { return cmp.Compare(a.Node, b.Node) })
+		d.derived.digests = digestsOf(d.records)
+	})
+	return d.derived
 }
 
 // Generation returns a number that is higher for each directory derived with
@@ -126,7 +153,7 @@
 	if len(newer) == 0 {
 		return d, nil
 	}
-	return Directory{merged, d.generation + 1}, newer
+	return newDirectory(merged, d.generation+1), newer
 }
 
 // WithRelayRecords returns the directory with the records of a relay merged in. A
@@ -134,7 +161,7 @@
 // lower: each relay decides by itself whether a server is lost, so the state may
 // change when a node follows another relay.
 func (d Directory) WithRelayRecords(records []Record) Directory {
-	next := Directory{maps.Clone(d.records), d.generation + 1}
+	next := newDirectory(maps.Clone(d.records), d.generation+1)
 	if next.records == nil {
 		next.records = map[string]Record{}
 	}
@@ -153,17 +180,16 @@
 }
 
 // Records returns all records ordered by node.
-func (d Directory) Records() []Record {
-	list := slices.Collect(maps.Values(d.records))
-	slices.SortFunc(list, func(a, b Record) int { return cmp.Compare(a.Node, b.Node) })
-	return list
-}
+func (d Directory) Records() []Record { return slices.Clone(d.derive().sorted) }
+
+// All iterates over the records, ordered by node.
+func (d Directory) All() iter.Seq[Record] { return slices.Values(d.derive().sorted) }
 
 // Serving returns the servers that accept new calls, those in state Up, by service
 // and ordered by node.
 func (d Directory) Serving() map[string][]Record {
 	serving := map[string][]Record{}
-	for _, r := range d.Records() {
+	for r := range d.All() {
 		if r.State == Up {
 			serving[r.Service] = append(serving[r.Service], r)
 		}
@@ -176,7 +202,7 @@
 func (d Directory) Digest() uint64 {
 	h := xxhash.New()
 	var b []byte
-	for _, r := range d.Records() {
+	for r := range d.All() {
 		b = append(b[:0], r.Node...)
 		b = append(b, 0)
 		for _, n := range []uint64{r.Incarnation, r.Sequence, uint64(r.State)} {
@@ -196,10 +222,12 @@
 
 // Digests returns a hash of each bucket of records. Two nodes compare their digests
 // and exchange only the records of buckets that differ.
-func (d Directory) Digests() []uint32 {
+func (d Directory) Digests() []uint32 { return slices.Clone(d.derive().digests) }
+
+func digestsOf(records map[string]Record) []uint32 {
 	digests := make([]uint32, digestBuckets)
 	var b []byte
-	for _, r := range d.records {
+	for _, r := range records {
 		b = append(b[:0], r.Node...)
 		for _, n := range []uint64{r.Incarnation, r.Sequence, uint64(r.State)} {
 			b = binary.LittleEndian.AppendUint64(b, n)
@@ -219,18 +247,24 @@
 	if len(digests) != digestBuckets {
 		return d.Records()
 	}
-	own := d.Digests()
-	return slices.DeleteFunc(d.Records(), func(r Record) bool {
-		i := bucket(r.Node)
-		return own[i] == digests[i]
-	})
+	own := d.derive().digests
+	if slices.Equal(own, digests) {
+		return nil
+	}
+	var differing []Record
+	for r := range d.All() {
+		if i := bucket(r.Node); own[i] != digests[i] {
+			differing = append(differing, r)
+		}
+	}
+	return differing
 }
 
 // Without returns the directory without the record of node.
 func (d Directory) Without(node string) Directory {
 	records := maps.Clone(d.records)
 	delete(records, node)
-	return Directory{records, d.generation + 1}
+	return newDirectory(records, d.generation+1)
 }
 
 // Len returns the number of records.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -190,3 +190,17 @@
 	is.True(len(differing) >= 1)
 	is.True(len(differing) <= 2*450/digestBuckets)
 }
+
+// TestRecordsCanBeChanged guards against callers that change the records which a directory
+// keeps, in order, for all of them.
+func TestRecordsCanBeChanged(t *testing.T) {
+	is := is.New(t)
+	d, _ := Directory{}.WithRecords(Record{Node: "b", Sequence: 1}, Record{Node: "a", Sequence: 1})
+	list, digests := d.Records(), d.Digests()
+	list[0].Node = "changed"
+	digests[0]++
+	is.Equal(d.Records()[0].Node, "a")
+	is.Equal(len(d.Differing(d.Digests())), 0)
+	is.Equal(len(Directory{}.Records()), 0)
+	is.Equal(Directory{}.Digests(), make([]uint32, len(digests)))
+}
