--- a/internal/fleet/roster/fleet_test.go
+++ b/internal/fleet/roster/fleet_test.go
@@ -38,6 +38,7 @@
 	served  refusal = iota
 	refused         // calls and waiting watches fail at once
 	ignored         // calls and waiting watches get no response
+	frozen          // the same, and the node neither sends nor receives messages
 )
 
 // fleetStore is a catalogue in memory that turns some of its callers away.
@@ -124,7 +125,7 @@
 	c.store.mu.Lock()
 	how := c.store.refusals[c.node]
 	c.store.mu.Unlock()
-	if how == ignored {
+	if how == ignored || how == frozen {
 		<-ctx.Done()
 	}
 	if how != served {
@@ -202,7 +203,7 @@
 	return c.call(ctx)
 }
 
-// fleetNetwork connects rosters. Messages to or from a node that is cut off are lost.
+// fleetNetwork connects rosters. Messages to or from a slow node get no response.
 type fleetNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*Roster // by address
@@ -211,7 +212,7 @@
 
 func (f *fleetNetwork) Exchange(ctx context.Context, address string, m Message) (Message, error) {
 	f.mu.Lock()
-	r, slow := f.nodes[address], f.slow[address]
+	r, slow := f.nodes[address], f.slow[address] || f.slow[addressOf(m.Node)]
 	f.mu.Unlock()
 	if slow || r == nil {
 		<-ctx.Done()
@@ -279,18 +280,32 @@
 
 // refuse has the store turn away the nodes that watch and a share of all nodes.
 func (f *fleet) refuse(how refusal, share float64) {
-	f.store.refuse(how, f.watchers(watcherCount)...)
 	rest := slices.Clone(f.names)
 	f.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	f.store.refuse(how, rest[:int(share*float64(len(rest)))]...)
+	nodes := append(f.watchers(watcherCount), rest[:int(share*float64(len(rest)))]...)
+	f.store.refuse(how, nodes...)
+	if how == frozen {
+		f.network.mu.Lock()
+		defer f.network.mu.Unlock()
+		for _, node := range nodes {
+			f.network.slow[addressOf(node)] = true
+		}
+	}
+}
+
+// live returns the nodes that are not frozen.
+func (f *fleet) live() []string {
+	return slices.DeleteFunc(slices.Clone(f.names), func(node string) bool { return f.store.refusals[node] == frozen })
 }
 
-// change writes a version and returns how long it takes until all nodes have it, at most limit.
+// change writes a version and returns how long it takes until all live nodes have it, at most
+// limit.
 func (f *fleet) change(version uint64, limit time.Duration) time.Duration {
+	nodes := f.live()
 	f.store.put("config", "main", fmt.Append(nil, version))
 	began := time.Now()
 	for ; time.Since(began) < limit; time.Sleep(10 * time.Millisecond) {
-		if !slices.ContainsFunc(f.names, func(node string) bool {
+		if !slices.ContainsFunc(nodes, func(node string) bool {
 			p := f.rosters[node].Snapshot().Policy
 			return p == nil || p.Version < version
 		}) {
@@ -302,7 +317,7 @@
 
 // String returns a word for the manner.
 func (r refusal) String() string {
-	return [...]string{served: "served", refused: "refused", ignored: "ignored"}[r]
+	return [...]string{served: "served", refused: "refused", ignored: "ignored", frozen: "frozen"}[r]
 }
 
 // sortCandidates sorts the names of nodes by the order in which they watch the policy.
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -26,6 +26,7 @@
 	}{
 		{13, 3, served, 0}, {13, 3, refused, 0.35}, {13, 3, refused, 0.6}, {13, 3, ignored, 0.35},
 		{67, 3, served, 0}, {67, 3, refused, 0.35}, {67, 3, refused, 0.6}, {67, 3, ignored, 0.35},
+		{67, 3, frozen, 0}, {67, 3, frozen, 0.33}, {195, 1, frozen, 0}, {195, 1, frozen, 0.33},
 		{195, 1, served, 0}, {195, 1, refused, 0.6}, {451, 1, refused, 0.6},
 	} {
 		for seed := range c.seeds {
