--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -45,10 +45,10 @@
 	RevisionEra uint64              `cbor:"13,keyasint,omitempty"` // era of Revision
 	Era         uint64              `cbor:"14,keyasint,omitempty"` // of the catalogue, the latest that the sender knows
 	Silent      []string            `cbor:"15,keyasint,omitempty"` // nodes that did not respond to the sender
+	Age         uint64              `cbor:"16,keyasint,omitempty"` // milliseconds since a node read the policy in the catalogue first
 	Refused     []string            `cbor:"17,keyasint,omitempty"` // nodes that the catalogue refuses, in place of which the receiver is to watch
 	Checked     uint64              `cbor:"18,keyasint,omitempty"` // number of the catalogue's revision up to which Version is the latest
 	CheckedEra  uint64              `cbor:"19,keyasint,omitempty"` // era of that revision
-	Age         uint64              `cbor:"16,keyasint,omitempty"` // milliseconds since a node read the policy in the catalogue first
 }
 
 // gossip exchanges messages with random nodes, one at a time, until ctx ends.
