roster: races and a wrong condition in the tests of late versions

The slow node's test also made the node that fetches slow, since a slow node does not send either; it failed once under the race detector (1 != 5). Only the slow node and those that play no part are slow now, in a fleet so large that gossip does not bring the version first. A counter was read without its lock.

--- a/internal/fleet/roster/fetch_test.go
+++ b/internal/fleet/roster/fetch_test.go
@@ -13,19 +13,17 @@
 func TestSlowNodeHoldsUpTheFetchOfAVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFleet(6, 1)
+		f := newFleet(40, 1)
 		defer f.stop()
 		f.store.refuse(ignored, f.names...)
 		time.Sleep(20 * time.Second) // until all calls of the store have ended
 		slow, other, behind := f.names[0], f.names[1], f.rosters[f.names[2]]
-		for _, node := range []string{slow, other} {
-			send(f.rosters[node], policyMessage(5))
-		}
 		f.network.mu.Lock()
-		for _, node := range f.names {
-			f.network.slow[addressOf(node)] = node != other
+		for _, node := range append([]string{slow}, f.names[3:]...) {
+			f.network.slow[addressOf(node)] = true
 		}
 		f.network.mu.Unlock()
+		send(f.rosters[other], policyMessage(5))
 		is.True(behind.Snapshot().Policy.Version < 5)
 		for _, node := range []string{slow, other} {
 			send(behind, Message{Node: node, Push: true, Version: 5})
--- a/internal/fleet/roster/fleet_test.go
+++ b/internal/fleet/roster/fleet_test.go
@@ -49,7 +49,7 @@
 	changed  chan struct{} // closed and replaced at each change and each new refusal
 	refusals map[string]refusal
 	calls    int
-	listed   map[string]int // by kind: lists that were not refused
+	listed   map[string]int // by kind: lists that were served
 	times    []time.Time    // of the changes
 }
 
@@ -73,6 +73,13 @@
 	s.wake()
 }
 
+// lists returns the number of lists of a kind that the store has served.
+func (s *fleetStore) lists(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed[kind]
+}
+
 func (s *fleetStore) put(kind, name string, value []byte) gd.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -295,6 +302,8 @@
 
 // live returns the nodes that are not frozen.
 func (f *fleet) live() []string {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(f.names), func(node string) bool { return f.store.refusals[node] == frozen })
 }
 
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -68,12 +68,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(67, 1)
 		defer f.stop()
-		before := f.store.listed["config"]
+		before := f.store.lists("config")
 		for range 60 {
 			time.Sleep(time.Second)
 			f.store.put("other", "entry", nil)
 		}
-		if n := f.store.listed["config"] - before; n > 0 {
+		if n := f.store.lists("config") - before; n > 0 {
 			t.Errorf("the policy was read %d times in 60 s, want none", n)
 		}
 	})
