Do not wait for gossip partners that stand still

A node that no one had told of it asks a random partner every 0.5 s, but waited up to 1.5 s for one that does not respond, so two of these in a row made it late. After 0.3 s it goes on with the next partner, as a fetch does already. TestStuckPartnersHoldUpGossip: 30 partners that stand still, fewer than 8 asked in 10 s before, at least 8 now.

--- a/internal/fleet/roster/fetch.go
+++ b/internal/fleet/roster/fetch.go
@@ -7,11 +7,7 @@
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
-const (
-	// fetchPatience is the time after which a version is fetched from another node as well.
-	fetchPatience = 300 * time.Millisecond
-	maxOffers     = 4 // nodes remembered that have a version
-)
+const maxOffers = 4 // nodes remembered that have a version
 
 // policyFetch is the fetch of a version of the policy from other nodes.
 type policyFetch struct {
@@ -50,20 +46,12 @@
 	s.fetch.asked = append(s.fetch.asked, from.Node)
 	s.fetch.running++
 	query := s.summary()
-	ended := make(chan struct{})
 	s.r.tasks.Go(func() {
-		defer close(ended)
-		s.r.exchange(s.ctx, from, query)
-	})
-	s.r.tasks.Go(func() {
-		t := time.NewTimer(fetchPatience)
-		defer t.Stop()
-		select {
-		case <-ended:
-		case <-t.C:
+		impatient := time.AfterFunc(exchangePatience, func() {
 			s.r.post(s.ctx, func(s *state) { s.fetchNext(version) })
-			<-ended
-		}
+		})
+		s.r.exchange(s.ctx, from, query)
+		impatient.Stop()
 		s.r.post(s.ctx, func(s *state) { s.endFetch(version) })
 	})
 }
--- a/internal/fleet/roster/fetch_test.go
+++ b/internal/fleet/roster/fetch_test.go
@@ -28,7 +28,7 @@
 		for _, node := range []string{slow, other} {
 			send(behind, Message{Node: node, Push: true, Version: 5})
 		}
-		time.Sleep(fetchPatience + 50*time.Millisecond)
+		time.Sleep(exchangePatience + 50*time.Millisecond)
 		is.Equal(behind.Snapshot().Policy.Version, uint64(5))
 	})
 }
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -19,8 +19,10 @@
 	// catalogue refuses.
 	gossipInterval  = 500 * time.Millisecond
 	exchangeTimeout = 1500 * time.Millisecond
-	maxPushes       = 32 // pushes of one node in flight
-	maxSlowPushes   = 8  // the same for nodes that do not respond, which must not hold up the others
+	// exchangePatience is the time after which another node is asked as well.
+	exchangePatience = 300 * time.Millisecond
+	maxPushes        = 32 // pushes of one node in flight
+	maxSlowPushes    = 8  // the same for nodes that do not respond, which must not hold up the others
 	// fanOut is the number of nodes that a node notifies of a new version. A
 	// policy of 1,600 routes is about 50 KB, which takes 0.1 s on a link of
 	// 5 Mbit/s for each node that fetches it.
@@ -51,7 +53,7 @@
 	CheckedEra  uint64              `cbor:"19,keyasint,omitempty"` // era of that revision
 }
 
-// gossip exchanges messages with random nodes, one at a time, until ctx ends.
+// gossip exchanges messages with random nodes until ctx ends.
 func (r *Roster) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.sleep(ctx, r.jitter(gossipInterval))
@@ -69,11 +71,27 @@
 			return
 		}
 		for _, partner := range partners {
-			r.exchange(ctx, partner, query)
+			r.exchangeWithin(ctx, exchangePatience, partner, query)
 		}
 	}
 }
 
+// exchangeWithin begins an exchange with a node and waits until it ends, but not for longer than
+// patience.
+func (r *Roster) exchangeWithin(ctx context.Context, patience time.Duration, with server.Record, query Message) {
+	ended := make(chan struct{})
+	r.tasks.Go(func() {
+		defer close(ended)
+		r.exchange(ctx, with, query)
+	})
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
+	}
+}
+
 // randomNodes returns the records of up to n random other nodes that respond.
 func (s *state) randomNodes(n int) []server.Record {
 	var others []server.Record
--- a/internal/fleet/roster/gossip_test.go
+++ b/internal/fleet/roster/gossip_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -158,3 +159,43 @@
 }
 
 var _ Exchanger = (*memoryNetwork)(nil)
+
+// stuckNetwork is an Exchanger whose nodes do not respond. It records whom it asked.
+type stuckNetwork struct {
+	mu    sync.Mutex
+	asked map[string]bool // by address
+}
+
+func (s *stuckNetwork) Exchange(ctx context.Context, address string, _ Message) (Message, error) {
+	s.mu.Lock()
+	s.asked[address] = true
+	s.mu.Unlock()
+	<-ctx.Done()
+	return Message{}, ctx.Err()
+}
+
+// TestStuckPartnersHoldUpGossip guards against a node that learns of nothing for seconds, since it
+// waits for partners that stand still, one after the other.
+func TestStuckPartnersHoldUpGossip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &stuckNetwork{asked: map[string]bool{}}
+		r := New(Config{
+			Self: server.Record{Node: "own", Address: "own:1"}, Catalogue: unavailable{}, Decode: decodeVersion,
+			Exchanger: network, Clock: bubbleClock{time.Now()}, Log: hclog.NewNullLogger(), Seed: 1,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = r.Run(ctx) })
+		var records []server.Record
+		for i := range 30 {
+			records = append(records, server.Record{Node: nodeName(i), Address: addressOf(nodeName(i)), Service: "shop", Incarnation: 1})
+		}
+		send(r, Message{Push: true, Records: records})
+		time.Sleep(10 * time.Second)
+		cancel()
+		running.Wait()
+		if len(network.asked) < 8 {
+			t.Errorf("%d partners were asked in 10 s, want at least 8", len(network.asked))
+		}
+	})
+}
