object: an object that cannot be read does not hide the others of its kind

Any writer may leave an entry whose value is no object of this project. A list of its kind failed as a whole, so a node of serve found no relay by the store (TestOddObjectHidesTheOthersOfItsKind). Such an object is listed without a value, and the node logs the seat that it cannot read.

--- a/geraniumdock.go
+++ b/geraniumdock.go
@@ -45,7 +45,8 @@
 	Put(ctx context.Context, key string, value []byte, ifRevision Revision) (Object, error)
 	// Delete removes the object if its revision is still ifRevision.
 	Delete(ctx context.Context, key string, ifRevision Revision) error
-	// List returns the objects whose keys begin with prefix, ordered by key.
+	// List returns the objects whose keys begin with prefix, ordered by key. An object that
+	// cannot be read has no value.
 	List(ctx context.Context, prefix string) ([]Object, error)
 	// Watch waits until the object's revision is greater than after and returns the
 	// object. It returns an error of kind TimedOut if that does not happen within wait.
--- a/internal/store/object/catalogue.go
+++ b/internal/store/object/catalogue.go
@@ -80,7 +80,7 @@
 }
 
 // List returns the objects whose keys begin with prefix, ordered by key. The prefix
-// must include the first slash of the keys.
+// must include the first slash of the keys. An object that cannot be read has no value.
 func (s *CatalogueStore) List(ctx context.Context, prefix string) ([]gd.Object, error) {
 	kind, _ := entryFor(prefix)
 	entries, _, err := s.catalogue.List(ctx, kind)
@@ -96,7 +96,7 @@
 		}
 		o, err := decodeObject(key, e)
 		if err != nil {
-			return nil, err
+			o = gd.Object{Key: key, Revision: e.Revision} // another writer's; it must not hide the others
 		}
 		list = append(list, o)
 	}
--- a/internal/store/object/platform_test.go
+++ b/internal/store/object/platform_test.go
@@ -227,6 +227,24 @@
 	is.Equal(keys, []string{"relay/a/0", "relay/a/1"})
 }
 
+// TestOddObjectHidesTheOthersOfItsKind guards against lists that fail because another writer left
+// an object whose value cannot be read.
+func TestOddObjectHidesTheOthersOfItsKind(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, s := newCatalogueStore(t)
+	_, err := s.Put(ctx, "relay/a/0", []byte("own"), gd.Revision{})
+	is.NoErr(err)
+	kind, name := entryFor("relay/a/1")
+	odd, err := s.catalogue.Put(ctx, kind, name, []byte(`{"not":"a string"}`), gd.Revision{})
+	is.NoErr(err)
+	list, err := s.List(ctx, "relay/a/")
+	is.NoErr(err)
+	is.Equal(len(list), 2)
+	is.Equal(string(list[0].Value), "own")
+	is.Equal(list[1], gd.Object{Key: "relay/a/1", Revision: odd.Revision})
+}
+
 // failingStore returns errors for a number of calls before it passes calls on to the
 // wrapped store.
 type failingStore struct {
--- a/node/role.go
+++ b/node/role.go
@@ -43,7 +43,11 @@
 	var seats []relay.Seat
 	for _, o := range objects {
 		r, err := lease.Decode(o.Value)
-		if err != nil || r.Expires.Add(expiredSeatGrace) < n.cfg.Clock.Now() {
+		if err != nil {
+			n.log.Warn("a relay seat cannot be read", "key", o.Key, "revision", o.Revision.String(), "error", err)
+			continue
+		}
+		if r.Expires.Add(expiredSeatGrace) < n.cfg.Clock.Now() {
 			continue
 		}
 		index, err := strconv.Atoi(o.Key[strings.LastIndexByte(o.Key, '/')+1:])
