--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -327,10 +327,30 @@
 	}
 }
 
-// sendToOne pushes a message to a node, or if that does not respond to one of up to tries
+// sendToOne pushes a message to a node, or if that does not respond soon to one of up to tries
 // others.
 func (r *Roster) sendToOne(ctx context.Context, to server.Record, m Message, tries int) {
-	if r.send(ctx, to, m, r.pushSlots) == nil || tries == 0 {
+	select {
+	case r.pushSlots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	ended := make(chan error, 1)
+	r.tasks.Go(func() {
+		defer func() { <-r.pushSlots }()
+		_, err := r.ask(ctx, to, m)
+		ended <- err
+	})
+	t := time.NewTimer(exchangePatience)
+	defer t.Stop()
+	select {
+	case err := <-ended:
+		if err == nil {
+			return
+		}
+	case <-t.C:
+	}
+	if tries == 0 {
 		return
 	}
 	r.post(ctx, func(s *state) {
