Keep watching in place of refused nodes until these are served again

In 1 of 30 runs of TestVersionsAreLateWhileTheStoreRefusesNodes 13 nodes, of which the store refused 60 in 100 and those that watch, took 3.74 s for a version (bound 2 s). Two gaps: a node that had been refused in a poll took no part, so the watch was not handed on beyond it for up to 5 s; and nodes that watched in place of others counted on these again after 6 s, while the refused ones renewed their words one after the other.

Only a node that is to watch marks itself as refused, so each that is told tries once and hands over.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -84,9 +84,7 @@
 		r.cfg.Log.Info(event.StoreListed, "kind", r.cfg.PolicyKind, "revision", revision.String(), "in-force", r.policyRevision().String())
 	}
 	if cursor.failed {
-		r.post(ctx, func(s *state) {
-			s.clearRefused(func(node string, _ time.Duration) bool { return node == r.cfg.Self.Node })
-		})
+		r.post(ctx, (*state).regain)
 		r.cfg.Log.Info(event.StoreRegained, "kind", r.cfg.PolicyKind)
 		r.wakeLister() // server entries may have expired in the meantime
 	}
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -51,6 +51,7 @@
 	Refused     []string            `cbor:"17,keyasint,omitempty"` // nodes that the catalogue refuses, in place of which the receiver is to watch
 	Checked     uint64              `cbor:"18,keyasint,omitempty"` // number of the catalogue's revision up to which Version is the latest
 	CheckedEra  uint64              `cbor:"19,keyasint,omitempty"` // era of that revision
+	Served      bool                `cbor:"20,keyasint,omitempty"` // the catalogue serves the sender again
 }
 
 // gossip exchanges messages with random nodes until ctx ends.
@@ -196,6 +197,9 @@
 	}
 	s.recordHearsay(m.Silent)
 	s.recordRefused(m.Refused)
+	if m.Served {
+		s.clearRefused(func(node string, _ time.Duration) bool { return node == m.Node })
+	}
 	s.enterEra(m.Era, "node "+m.Node)
 	if m.Version > s.version() {
 		if m.Policy != nil || m.Delta != nil {
--- a/internal/fleet/roster/refusal.go
+++ b/internal/fleet/roster/refusal.go
@@ -18,25 +18,26 @@
 	// candidateCount is the number of nodes that watch in place of others which the catalogue
 	// refuses, these included. If it refuses them all, the polls have to do.
 	candidateCount = 15
-	// refusedTTL is how long a node that the catalogue has refused watches nothing. It tries
-	// again before the others count on it, which is hearsayMargin later.
-	refusedTTL    = 5 * time.Second
-	hearsayMargin = time.Second
+	// refusedTTL is how long a node that the catalogue has refused watches nothing. Then it tries
+	// again.
+	refusedTTL = 5 * time.Second
+	// refusedHearsayTTL is how long others do not count on such a node, unless it says that the
+	// catalogue serves it again. It is longer than some tries.
+	refusedHearsayTTL = 30 * time.Second
 )
 
-// handOver records that the catalogue refuses this node. If the node watches the policy, it has
-// the next ones watch in its place. If they are refused as well they do the same, so that the
-// watch reaches nodes that the catalogue serves within a few calls.
+// handOver records that the catalogue refuses this node, if it watches the policy, and has the
+// next ones watch in its place. If they are refused as well they do the same, so that the watch
+// reaches nodes that the catalogue serves within a few calls.
 func (r *Roster) handOver(ctx context.Context) {
 	done := make(chan struct{})
 	r.post(ctx, func(s *state) {
 		defer close(done)
-		watched := r.IsWatcher()
-		s.setRefused(refusedTTL, r.cfg.Self.Node)
-		s.publishSnapshot()
-		if !watched {
+		if !r.IsWatcher() {
 			return
 		}
+		s.setRefused(refusedTTL, r.cfg.Self.Node)
+		s.publishSnapshot()
 		next := r.watchers()
 		r.cfg.Log.Info(event.WatchHandedOver, "refused", len(s.refused), "to", nodesOf(next))
 		s.pushTo(next, Message{Refused: slices.Collect(maps.Keys(s.refused))})
@@ -60,7 +61,21 @@
 func (s *state) recordRefused(nodes []string) {
 	others := slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return node == s.r.cfg.Self.Node })
 	if len(others) > 0 {
-		s.setRefused(refusedTTL+hearsayMargin, others...)
+		s.setRefused(refusedHearsayTTL, others...)
+	}
+}
+
+// regain records that the catalogue serves this node again, and tells the nodes that may watch
+// in its place.
+func (s *state) regain() {
+	own := s.r.cfg.Self.Node
+	if _, ok := s.refused[own]; !ok {
+		return
+	}
+	s.clearRefused(func(node string, _ time.Duration) bool { return node == own })
+	s.publishSnapshot()
+	if s.r.IsWatcher() {
+		s.pushTo(s.r.candidates(), Message{Served: true})
 	}
 }
 
@@ -98,10 +113,9 @@
 	return ok
 }
 
-// watchers returns the few nodes that watch the policy. The candidates are the nodes that
-// respond whose names have the lowest hashes, so that all nodes agree on them; the first ones
-// that the catalogue does not refuse watch.
-func (r *Roster) watchers() []server.Record {
+// candidates returns the nodes that respond and whose names have the lowest hashes, so that all
+// nodes agree on them.
+func (r *Roster) candidates() []server.Record {
 	snapshot := r.snapshot.Load()
 	others := slices.DeleteFunc(snapshot.Directory.Records(), func(rec server.Record) bool {
 		return rec.Node == r.cfg.Self.Node || rec.State == server.Gone || snapshot.IsSilent(rec.Node)
@@ -110,8 +124,14 @@
 	slices.SortFunc(candidates, func(a, b server.Record) int {
 		return cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node))
 	})
-	candidates = candidates[:min(candidateCount, len(candidates))]
-	served := slices.DeleteFunc(candidates, func(rec server.Record) bool { return snapshot.isRefused(rec.Node) })
+	return candidates[:min(candidateCount, len(candidates))]
+}
+
+// watchers returns the few nodes that watch the policy: the first of the candidates that the
+// catalogue does not refuse.
+func (r *Roster) watchers() []server.Record {
+	snapshot := r.snapshot.Load()
+	served := slices.DeleteFunc(r.candidates(), func(rec server.Record) bool { return snapshot.isRefused(rec.Node) })
 	return served[:min(watcherCount, len(served))]
 }
 
--- a/internal/fleet/roster/refusal_test.go
+++ b/internal/fleet/roster/refusal_test.go
@@ -22,6 +22,15 @@
 	return s
 }
 
+// handOver has the node of s hand over, as after a call that the store has refused.
+func handOver(s *state) {
+	done := make(chan struct{})
+	go func() { defer close(done); s.r.handOver(context.Background()) }()
+	(<-s.r.changes)(s)
+	<-done
+	runChanges(s)
+}
+
 // TestRefusedNodeCountsAsWatcher guards against nodes that the store refuses and in place of
 // which no other node watches the policy.
 func TestRefusedNodeCountsAsWatcher(t *testing.T) {
@@ -33,7 +42,11 @@
 	s.publishSnapshot()
 	is.True(s.r.IsWatcher())
 	is.Equal(nodesOf(s.r.watchers()), append(first[1:], s.r.cfg.Self.Node))
-	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedTTL + hearsayMargin)
+	s.receive(Message{Node: first[0], Push: true, Served: true})
+	s.publishSnapshot()
+	is.True(!s.r.IsWatcher())
+	s.receive(Message{Push: true, Refused: first[:1]})
+	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedHearsayTTL)
 	s.expire()
 	s.publishSnapshot()
 	is.True(!s.r.IsWatcher()) // unless it is told again
@@ -45,14 +58,7 @@
 	is := is.New(t)
 	s := watcherAmong(100, 0)
 	network := s.r.cfg.Exchanger.(*deadNetwork)
-	handOver := func() {
-		done := make(chan struct{})
-		go func() { defer close(done); s.r.handOver(context.Background()) }()
-		(<-s.r.changes)(s)
-		<-done
-		runChanges(s)
-	}
-	handOver()
+	handOver(s)
 	is.True(!s.r.IsWatcher())
 	next := s.r.watchers()
 	is.Equal(len(next), watcherCount)
@@ -60,7 +66,7 @@
 		is.True(slices.Contains(network.asked, rec.Address))
 	}
 	network.asked = nil
-	handOver() // does not watch, so it tells nobody
+	handOver(s) // does not watch, so it tells nobody
 	is.Equal(len(network.asked), 0)
 
 	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedTTL)
@@ -71,6 +77,17 @@
 	names := nodesOf(s.directory.Records())
 	sortCandidates(names)
 	s.recordRefused(names[1:candidateCount])
-	handOver()
+	handOver(s)
 	is.Equal(len(s.r.watchers()), 0)
 }
+
+// TestRefusedPollerBreaksTheChain guards against a node that is told to watch and does not hand
+// over, since the store has refused a poll of it before.
+func TestRefusedPollerBreaksTheChain(t *testing.T) {
+	is := is.New(t)
+	s := watcherAmong(100, watcherCount)
+	handOver(s) // after a poll
+	s.recordRefused(nodesOf(s.r.watchers())[:1])
+	s.publishSnapshot()
+	is.True(s.r.IsWatcher())
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -310,6 +310,7 @@
 		delete(s.forgotten, r.Node)
 		if known, ok := before.Record(r.Node); !ok || r.Incarnation > known.Incarnation {
 			s.clearSilent(r.Node) // a process of the node has started
+			s.clearRefused(func(node string, _ time.Duration) bool { return node == r.Node })
 		}
 		s.changedAt[r.Node] = s.r.cfg.Clock.Monotonic()
 		if r.Node == s.r.cfg.Self.Node {
