Tell the others that the store serves a node again

A node that hands over waits for 5 s and then tries again. Its own mark is gone by then, and regain told the others only if it was still there: they would have gone on watching in its place for up to 30 s, with a call for each change. The node remembers that it has handed over (TestServedNodeIsTakenForRefused: none of 14 were told before).

--- a/internal/fleet/roster/refusal.go
+++ b/internal/fleet/roster/refusal.go
@@ -36,6 +36,7 @@
 		if !r.IsWatcher() {
 			return
 		}
+		s.handedOver = true
 		s.setRefused(refusedTTL, r.cfg.Self.Node)
 		s.publishSnapshot()
 		next := r.watchers()
@@ -68,15 +69,12 @@
 // regain records that the catalogue serves this node again, and tells the nodes that may watch
 // in its place.
 func (s *state) regain() {
-	own := s.r.cfg.Self.Node
-	if _, ok := s.refused[own]; !ok {
+	if !s.handedOver {
 		return
 	}
-	s.clearRefused(func(node string, _ time.Duration) bool { return node == own })
-	s.publishSnapshot()
-	if s.r.IsWatcher() {
-		s.pushTo(s.r.candidates(), Message{Served: true})
-	}
+	s.handedOver = false
+	s.clearRefused(func(node string, _ time.Duration) bool { return node == s.r.cfg.Self.Node })
+	s.pushTo(s.r.candidates(), Message{Served: true})
 }
 
 // setRefused marks the nodes as refused for ttl. It replaces the map, which snapshots share.
--- a/internal/fleet/roster/refusal_test.go
+++ b/internal/fleet/roster/refusal_test.go
@@ -91,3 +91,22 @@
 	s.publishSnapshot()
 	is.True(s.r.IsWatcher())
 }
+
+// TestServedNodeIsTakenForRefused guards against nodes that go on watching in place of one which
+// the store serves again, after it has waited until its next try.
+func TestServedNodeIsTakenForRefused(t *testing.T) {
+	is := is.New(t)
+	s := watcherAmong(100, 0)
+	network := s.r.cfg.Exchanger.(*deadNetwork)
+	s.regain() // it has not handed over
+	runChanges(s)
+	is.Equal(len(network.asked), 0)
+	handOver(s)
+	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedTTL)
+	s.expire()
+	s.publishSnapshot()
+	network.asked = nil
+	s.regain()
+	runChanges(s)
+	is.Equal(len(network.asked), candidateCount-1) // all others that may watch
+}
