--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -90,12 +90,15 @@
 	}
 	*cursor = policyCursor{listed: true, revision: revision}
 	r.post(ctx, func(s *state) {
+		readable := true
 		for _, e := range entries {
 			if e.Name == r.cfg.PolicyName && !e.Deleted && !s.installPolicy(e.Value, e.Revision, "store", 0) {
-				return
+				readable = false
 			}
 		}
-		s.r.noteChecked(revision)
+		if readable {
+			s.r.noteChecked(revision)
+		}
 	})
 	return nil
 }
