--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -259,8 +259,7 @@
 	}
 }
 
-// TestNodesPollTogether guards against nodes that poll at the same moment, and then not for
-// long, since all of them have found at once that fewer nodes respond.
+// TestNodesPollTogether guards against polls of all nodes at once when fewer nodes respond.
 func TestNodesPollTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const nodes, dead = 60, 60
--- a/internal/fleet/roster/fetch_test.go
+++ b/internal/fleet/roster/fetch_test.go
@@ -8,8 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// TestSlowNodeHoldsUpTheFetchOfAVersion guards against a version that is fetched from one node
-// only, which does not respond in time, though others have it.
+// TestSlowNodeHoldsUpTheFetchOfAVersion guards against a fetch that waits for one slow node of several.
 func TestSlowNodeHoldsUpTheFetchOfAVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -72,24 +72,26 @@
 			return
 		}
 		for _, partner := range partners {
-			r.exchangeWithin(ctx, exchangePatience, partner, query)
+			r.runWithin(exchangePatience, func() { r.exchange(ctx, partner, query) })
 		}
 	}
 }
 
-// exchangeWithin begins an exchange with a node and waits until it ends, but not for longer than
-// patience.
-func (r *Roster) exchangeWithin(ctx context.Context, patience time.Duration, with server.Record, query Message) {
+// runWithin runs f, which goes on if it takes longer than patience. It reports whether f has
+// returned within that time.
+func (r *Roster) runWithin(patience time.Duration, f func()) bool {
 	ended := make(chan struct{})
 	r.tasks.Go(func() {
 		defer close(ended)
-		r.exchange(ctx, with, query)
+		f()
 	})
 	t := time.NewTimer(patience)
 	defer t.Stop()
 	select {
 	case <-ended:
+		return true
 	case <-t.C:
+		return false
 	}
 }
 
@@ -339,22 +341,12 @@
 	case <-ctx.Done():
 		return
 	}
-	ended := make(chan error, 1)
-	r.tasks.Go(func() {
+	var err error
+	ended := r.runWithin(exchangePatience, func() {
 		defer func() { <-r.pushSlots }()
-		_, err := r.ask(ctx, to, m)
-		ended <- err
+		_, err = r.ask(ctx, to, m)
 	})
-	t := time.NewTimer(exchangePatience)
-	defer t.Stop()
-	select {
-	case err := <-ended:
-		if err == nil {
-			return
-		}
-	case <-t.C:
-	}
-	if tries == 0 {
+	if ended && err == nil || tries == 0 {
 		return
 	}
 	r.post(ctx, func(s *state) {
--- a/internal/fleet/roster/gossip_test.go
+++ b/internal/fleet/roster/gossip_test.go
@@ -174,8 +174,7 @@
 	return Message{}, ctx.Err()
 }
 
-// TestStuckPartnersHoldUpGossip guards against a node that learns of nothing for seconds, since it
-// waits for partners that stand still, one after the other.
+// TestStuckPartnersHoldUpGossip guards against gossip that waits for partners that stand still.
 func TestStuckPartnersHoldUpGossip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := &stuckNetwork{asked: map[string]bool{}}
--- a/internal/fleet/roster/refusal_test.go
+++ b/internal/fleet/roster/refusal_test.go
@@ -4,22 +4,23 @@
 	"context"
 	"slices"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/clock"
 )
 
 // watcherAmong returns the state of the node among n that is at the given place in the order of
 // the candidates.
-func watcherAmong(n, place int) *state {
+func watcherAmong(n, place int) (*state, *clock.Fake) {
 	var names []string
 	for i := range n {
 		names = append(names, nodeName(i))
 	}
-	s, _, _ := stateWith(n, names...)
+	s, _, clk := stateWith(n, names...)
 	sortCandidates(names)
 	s.r.cfg.Self.Node = names[place]
-	return s
+	return s, clk
 }
 
 // handOver has the node of s hand over, as after a call that the store has refused.
@@ -31,11 +32,10 @@
 	runChanges(s)
 }
 
-// TestRefusedNodeCountsAsWatcher guards against nodes that the store refuses and in place of
-// which no other node watches the policy.
+// TestRefusedNodeCountsAsWatcher guards against refused nodes in place of which no other watches.
 func TestRefusedNodeCountsAsWatcher(t *testing.T) {
 	is := is.New(t)
-	s := watcherAmong(100, watcherCount)
+	s, clk := watcherAmong(100, watcherCount)
 	is.True(!s.r.IsWatcher())
 	first := nodesOf(s.r.watchers())
 	s.receive(Message{Push: true, Refused: first[:1]})
@@ -46,17 +46,16 @@
 	s.publishSnapshot()
 	is.True(!s.r.IsWatcher())
 	s.receive(Message{Push: true, Refused: first[:1]})
-	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedHearsayTTL)
+	clk.Advance(refusedHearsayTTL)
 	s.expire()
 	s.publishSnapshot()
-	is.True(!s.r.IsWatcher()) // unless it is told again
+	is.True(!s.r.IsWatcher()) // the mark has expired
 }
 
-// TestRefusedWatcherTellsTheNext has the store refuse a node that watches. It must tell the
-// nodes that are to watch then, try again later, and give up if all candidates are refused.
+// TestRefusedWatcherTellsTheNext guards against a refused node that watches and tells no other.
 func TestRefusedWatcherTellsTheNext(t *testing.T) {
 	is := is.New(t)
-	s := watcherAmong(100, 0)
+	s, clk := watcherAmong(100, 0)
 	network := s.r.cfg.Exchanger.(*deadNetwork)
 	handOver(s)
 	is.True(!s.r.IsWatcher())
@@ -69,7 +68,7 @@
 	handOver(s) // does not watch, so it tells nobody
 	is.Equal(len(network.asked), 0)
 
-	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedTTL)
+	clk.Advance(refusedTTL)
 	s.expire()
 	s.publishSnapshot()
 	is.True(s.r.IsWatcher())
@@ -81,28 +80,26 @@
 	is.Equal(len(s.r.watchers()), 0)
 }
 
-// TestRefusedPollerBreaksTheChain guards against a node that is told to watch and does not hand
-// over, since the store has refused a poll of it before.
+// TestRefusedPollerBreaksTheChain guards against a node that is told to watch after a refused poll and does not.
 func TestRefusedPollerBreaksTheChain(t *testing.T) {
 	is := is.New(t)
-	s := watcherAmong(100, watcherCount)
+	s, _ := watcherAmong(100, watcherCount)
 	handOver(s) // after a poll
 	s.recordRefused(nodesOf(s.r.watchers())[:1])
 	s.publishSnapshot()
 	is.True(s.r.IsWatcher())
 }
 
-// TestServedNodeIsTakenForRefused guards against nodes that go on watching in place of one which
-// the store serves again, after it has waited until its next try.
+// TestServedNodeIsTakenForRefused guards against nodes that watch in place of one that is served again.
 func TestServedNodeIsTakenForRefused(t *testing.T) {
 	is := is.New(t)
-	s := watcherAmong(100, 0)
+	s, clk := watcherAmong(100, 0)
 	network := s.r.cfg.Exchanger.(*deadNetwork)
 	s.regain() // it has not handed over
 	runChanges(s)
 	is.Equal(len(network.asked), 0)
 	handOver(s)
-	s.r.cfg.Clock.(interface{ Advance(time.Duration) }).Advance(refusedTTL)
+	clk.Advance(refusedTTL)
 	s.expire()
 	s.publishSnapshot()
 	network.asked = nil
--- a/internal/fleet/roster/spread_large_test.go
+++ b/internal/fleet/roster/spread_large_test.go
@@ -4,8 +4,7 @@
 
 import "testing"
 
-// TestVersionsAreLateInLargeFleets is TestVersionsAreLateWhileTheStoreRefusesNodes for fleets
-// that the race detector makes too slow.
+// TestVersionsAreLateInLargeFleets guards against the same in fleets that the race detector makes too slow.
 func TestVersionsAreLateInLargeFleets(t *testing.T) {
 	for _, c := range []spreadCase{
 		{195, 1, served, 0}, {195, 1, refused, 0.6}, {195, 1, frozen, 0}, {195, 1, frozen, 0.33},
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// TestVersionsAreLateWhileTheStoreRefusesNodes guards against versions that no node reads in time
-// while the store turns away the nodes that watch and most others.
+// TestVersionsAreLateWhileTheStoreRefusesNodes guards against versions that no served node reads in time.
 func TestVersionsAreLateWhileTheStoreRefusesNodes(t *testing.T) {
 	for _, c := range []spreadCase{
 		{13, 3, served, 0}, {13, 3, refused, 0.35}, {13, 3, refused, 0.6}, {13, 3, ignored, 0.35},
@@ -61,9 +60,7 @@
 	}
 }
 
-// TestPollsReadAnUnchangedPolicyAgain guards against polls that read all of the policy though it
-// has not changed, because other entries have and the history of the store has passed the
-// position of the poll.
+// TestPollsReadAnUnchangedPolicyAgain guards against polls from a position that the history has lost.
 func TestPollsReadAnUnchangedPolicyAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(67, 1)
--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -42,8 +42,8 @@
 	ids         [rememberedIDs]string // of the last requests
 }
 
-// rememberedIDs is the number of requests whose ids a connection remembers. A late second
-// response to one of them cannot be told from the response to a repeat with the same id.
+// rememberedIDs is the number of request ids that a connection remembers. A repeat has the id of
+// its first attempt, and so has a response to that attempt that the server writes twice.
 const rememberedIDs = 16
 
 // hasCarried reports whether one of the last requests on the connection had the id.
--- a/internal/http1/pool/faulty_test.go
+++ b/internal/http1/pool/faulty_test.go
@@ -117,8 +117,7 @@
 	}
 }
 
-// TestRefusalWrittenAgainForARepeat guards against a refusal of a first attempt that the server
-// writes once more, and that is taken for the response to the repeat, which has the same id.
+// TestRefusalWrittenAgainForARepeat guards against a first attempt's refusal taken for its repeat's response.
 func TestRefusalWrittenAgainForARepeat(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/proxy/sidecar/stop_test.go
+++ b/internal/proxy/sidecar/stop_test.go
@@ -16,8 +16,7 @@
 	"github.com/geraniumdock/geraniumdock/platform"
 )
 
-// TestRequestTakenLateInTheGraceIsCut guards against requests that a stopping node takes on kept
-// connections and passes on, and cuts without a response when the grace period ends.
+// TestRequestTakenLateInTheGraceIsCut guards against requests cut without a response at the end of the grace.
 func TestRequestTakenLateInTheGraceIsCut(t *testing.T) {
 	is := is.New(t)
 	const requests, grace = 80, 4 * time.Second
--- a/internal/store/object/platform_test.go
+++ b/internal/store/object/platform_test.go
@@ -227,8 +227,7 @@
 	is.Equal(keys, []string{"relay/a/0", "relay/a/1"})
 }
 
-// TestOddObjectHidesTheOthersOfItsKind guards against lists that fail because another writer left
-// an object whose value cannot be read.
+// TestOddObjectHidesTheOthersOfItsKind guards against lists that fail for one unreadable object.
 func TestOddObjectHidesTheOthersOfItsKind(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -173,8 +173,7 @@
 	}
 }
 
-// TestCallTakenLateInTheDrainIsCut guards against calls whose heads arrive while the node closes,
-// and which it passes on and cuts without a response when it ends.
+// TestCallTakenLateInTheDrainIsCut guards against calls that run and are cut when a closing node ends.
 func TestCallTakenLateInTheDrainIsCut(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -191,8 +191,7 @@
 	is.True(len(differing) <= 2*450/digestBuckets)
 }
 
-// TestRecordsCanBeChanged guards against callers that change the records which a directory
-// keeps, in order, for all of them.
+// TestRecordsCanBeChanged guards against callers that change what a directory keeps.
 func TestRecordsCanBeChanged(t *testing.T) {
 	is := is.New(t)
 	d, _ := Directory{}.WithRecords(Record{Node: "b", Sequence: 1}, Record{Node: "a", Sequence: 1})
