--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -291,8 +291,10 @@
 	}
 	if !l.isStale {
 		s.listedAt = l.asked
-		for _, rec := range records {
-			s.removeUnowned(rec, revisions[rec.Node])
+		if s.r.IsWatcher() { // the nodes may have ended, so a few do that for all
+			for _, rec := range records {
+				s.removeUnowned(rec, revisions[rec.Node])
+			}
 		}
 		s.markMissing(listed, l.revision)
 		s.r.wakePublisher()
@@ -304,11 +306,10 @@
 }
 
 // removeUnowned deletes the entry with rec if it is older than the departure of its
-// server, since the store lost its removal, or if its node is lost. The node may have ended,
-// so the few nodes that watch the policy do that for all.
+// server, since the store lost its removal, or if its node is lost.
 func (s *state) removeUnowned(rec server.Record, revision gd.Revision) {
 	known, ok := s.directory.Record(rec.Node)
-	if !ok || rec.Node == s.r.cfg.Self.Node || !s.r.IsWatcher() {
+	if !ok || rec.Node == s.r.cfg.Self.Node {
 		return
 	}
 	switch {
