ingress: have the body arrive after the head in the test of repeats

The body arrived 5 ms after the request was made, so that a goroutine that was held up for longer found it complete, and told the request by its bytes instead of by its length. With a pause of 10 ms before the second request the test failed in the same way. The body arrives when the request is sent on now, which is after it was told from others; what is checked is the same.

--- a/internal/proxy/ingress/ingress_test.go
+++ b/internal/proxy/ingress/ingress_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,9 +31,13 @@
 	results   []request.Result
 	asked     []string
 	objective time.Duration // of the last request
+	onAsk     func()        // called when a request arrives, if not nil
 }
 
 func (p *peers) Do(_ context.Context, address string, r request.Request) request.Result {
+	if p.onAsk != nil {
+		p.onAsk()
+	}
 	p.asked = append(p.asked, address)
 	p.objective = r.Objective
 	if r.Body != nil {
@@ -207,16 +212,16 @@
 				if text != "" {
 					in = body.New(1 << 10)
 				}
-				if in != nil && c.arrive {
-					_, _ = in.Write([]byte(text))
-					in.End(nil)
-				}
-				if in != nil && !c.arrive {
-					time.AfterFunc(5*time.Millisecond, func() {
+				arrive := sync.OnceFunc(func() {
+					if in != nil {
 						_, _ = in.Write([]byte(text))
 						in.End(nil)
-					})
+					}
+				})
+				if c.arrive {
+					arrive()
 				}
+				p.onAsk = arrive
 				handle(g, r, in)
 			}
 			send(c.bodies[0])
