station: take a server of an earlier process as lost if its record arrives late

Callers saw: after all nodes had been killed, requests still went to the node of a server that had left; that node refused them, so that each cost a hop, and with few servers an attempt.

Cause: a node that starts again adopts the record of its earlier process and gives the server two announcement intervals to confirm it. A record that arrived after that time was ignored. Other nodes had read the same record in the store, with the server up, and nobody took it back: the node had nothing to announce, its entry was in order, and the node responded.

Evidence: TestAcknowledgedLeaveOutlastsAllNodes/store_silent, where the first list of the node hangs and it learns of its record by gossip. Logs of a failed run: the entry was read as up 14 ms after the start, nothing was said of it for 20 s.

Now such a server is announced as lost at once; if it lives it announces itself and is up again. The case "adopted late" of the station's test asked for no record; it asks for one that says lost now, and fails on the code before.

--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -253,19 +253,22 @@
 // that the server is used before its next announcement. The record may be out of date: that
 // process may have acknowledged that the server leaves, and ended before it or another node
 // could publish that. A server that has left announces nothing more, so one that announces
-// nothing within confirmIntervals of the start of this process is not used.
+// nothing within confirmIntervals of the start of this process is not used. If that time is
+// over, the server is lost at once, as other nodes may still believe the record.
 func (s *Station) Adopt(r server.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	confirmBy := s.startedAt + confirmIntervals*s.cfg.AnnounceInterval
-	if s.known || s.nodeDraining || s.now() >= confirmBy {
+	if s.known || s.nodeDraining {
 		return
 	}
 	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
-	s.known, s.confirmBy, s.state = true, confirmBy, server.Up
+	s.known, s.state = true, server.Up
+	s.confirmBy = s.startedAt + confirmIntervals*s.cfg.AnnounceInterval
 	s.awaited.isPending = s.isOlderThanProcess(r.Started)
 	s.applySlots()
-	s.publishRecord()
+	if s.loseUnconfirmed(); s.state == server.Up {
+		s.publishRecord()
+	}
 }
 
 // loseUnconfirmed marks the server as lost if it was to announce itself by now. The caller
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -283,7 +283,7 @@
 		"never":                   {older, 0, nil, []server.State{server.Up, server.Lost}},
 		"late":                    {older, 0, []time.Duration{3 * interval, 4 * interval}, []server.State{server.Up, server.Lost, server.Up}},
 		"once":                    {older, 0, []time.Duration{interval}, []server.State{server.Up, server.Lost}},
-		"adopted late":            {older, 2 * interval, nil, nil},
+		"adopted late":            {older, 2 * interval, nil, []server.State{server.Lost}},
 		"announced once":          {older, -1, []time.Duration{interval}, []server.State{server.Up, server.Lost}},
 		"announced twice":         {older, -1, []time.Duration{interval, 2 * interval}, []server.State{server.Up}},
 		"twice, with a pause":     {older, -1, []time.Duration{interval, 5 * interval}, []server.State{server.Up, server.Lost, server.Up}},
