roster: two polls a second over all nodes, which wait longer for a change

Cause: the pauses between polls were drawn anew for each node and their mean took off the longest wait of a poll, also when it had ended early; and while the store refused a node, its lists began again at 0.1 s.

Now there are two polls a second over all nodes, and each waits for a change for 4 s, or for half of the interval between two polls of one node if that is shorter. The pause takes off the time that the poll took. After its first list, a refused node lists again after 1 s and later 5 s.

The limits in TestPollInterval and TestDeadNodesDoNotCount follow: at most two polls a second over all nodes, stricter than three.

--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -101,7 +101,7 @@
 	}
 	slices.Sort(partners)
 	is.Equal(partners, live)
-	is.Equal(s.r.pollInterval(), time.Second)
+	is.Equal(s.r.pollInterval(), 3*time.Second/pollsPerSecond)
 	is.True(s.r.IsWatcher()) // one of three
 	is.Equal(s.r.Snapshot().Responding(), 3)
 	is.Equal(s.r.Snapshot().Nodes(s.r.cfg.Clock.Monotonic()), nodes) // they may be behind a partition
@@ -117,7 +117,7 @@
 	waited := make(chan struct{})
 	go func() {
 		defer close(waited)
-		s.r.awaitPoll(context.Background())
+		s.r.awaitPoll(context.Background(), 0)
 	}()
 	for i := 1; i < 1000; i++ {
 		s.recordFailure(nodeName(i))
@@ -273,7 +273,7 @@
 			s.r.random = rand.New(rand.NewPCG(uint64(i), 0))
 			s.r.cfg.Self.Node = "zz" // not among the candidates
 			running.Go(func() {
-				s.r.awaitPoll(context.Background())
+				s.r.awaitPoll(context.Background(), 0)
 				mu.Lock()
 				defer mu.Unlock()
 				polls = append(polls, time.Since(began))
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -13,8 +13,8 @@
 const (
 	callTimeout     = 2 * time.Second        // of a catalogue call; a watch gets its wait in addition
 	watchWait       = 20 * time.Second       // longest wait of a watch for a change
-	pollWait        = 2 * time.Second        // longest wait of a poll for a change
-	pollsPerSecond  = 3                      // over all nodes
+	pollWait        = 4 * time.Second        // longest wait of a poll for a change
+	pollsPerSecond  = 2                      // over all nodes
 	minPollInterval = time.Second            // lower limit for one node, which knows no other nodes when it starts
 	listInterval    = 15 * time.Second       // mean pause between lists of the server records
 	firstBackoff    = 100 * time.Millisecond // mean pause before the first retry of a failed call
@@ -39,13 +39,15 @@
 	var cursor policyCursor
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		began := r.cfg.Clock.Monotonic()
 		err := r.pollPolicy(ctx, &cursor)
+		took := r.cfg.Clock.Monotonic() - began
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
 			backoff = firstBackoff
-			r.awaitPoll(ctx)
+			r.awaitPoll(ctx, took)
 			continue
 		case gd.Expired.Is(err):
 			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", gd.Later(cursor.revision, r.checkedRevision()).String())
@@ -57,7 +59,7 @@
 		}
 		r.handOver(ctx)
 		if r.Snapshot().Policy != nil {
-			r.awaitPoll(ctx) // other nodes read later versions meanwhile
+			r.awaitPoll(ctx, took) // other nodes read later versions meanwhile
 			continue
 		}
 		r.sleep(ctx, r.jitter(backoff))
@@ -108,7 +110,7 @@
 func (r *Roster) readPolicy(ctx context.Context, cursor policyCursor) (entries []gd.Entry, revision gd.Revision, err error) {
 	call, after, began := "list", gd.Later(cursor.revision, r.checkedRevision()), r.cfg.Clock.Monotonic()
 	if cursor.listed {
-		wait := pollWait
+		wait := min(pollWait, r.pollInterval()/2) // later polls notice what a watch does not report
 		call = "poll"
 		if r.IsWatcher() && !cursor.failed {
 			wait = min(r.pollInterval(), watchWait)
@@ -127,13 +129,14 @@
 	return entries, revision, err
 }
 
-// awaitPoll waits until the next poll is due, or until this node is one of those that watch
-// the policy. The nodes that respond, on which both depend, may change meanwhile. Pauses are
-// distributed exponentially: a change of their mean then makes no nodes poll together.
-func (r *Roster) awaitPoll(ctx context.Context) {
+// awaitPoll waits until the next poll is due, after one that took the given time, or until this
+// node is one of those that watch the policy. The nodes that respond, on which both depend, may
+// change meanwhile. Pauses are distributed exponentially: a change of their mean then makes no
+// nodes poll together.
+func (r *Roster) awaitPoll(ctx context.Context, took time.Duration) {
 	left := r.exponential() // in mean pauses
 	for ctx.Err() == nil && !r.IsWatcher() && left > 0 {
-		began, pause := r.cfg.Clock.Monotonic(), r.pollPause()
+		began, pause := r.cfg.Clock.Monotonic(), max(r.pollInterval()-took, minPollInterval)
 		t := time.NewTimer(time.Duration(left * float64(pause)))
 		select {
 		case <-t.C:
@@ -146,9 +149,6 @@
 	}
 }
 
-// pollPause returns the mean pause between two polls of this node.
-func (r *Roster) pollPause() time.Duration { return max(r.pollInterval()-pollWait, minPollInterval) }
-
 // pollInterval returns the mean time from one poll of this node to the next. It grows
 // with the number of nodes that respond, so that the rate over all nodes is bounded.
 func (r *Roster) pollInterval() time.Duration {
@@ -165,7 +165,7 @@
 	for ctx.Err() == nil {
 		list, err := r.listServers(ctx, isStale)
 		if err == nil {
-			backoff, longest = firstBackoff, maxListBackoff
+			backoff, longest = maxBackoff, maxListBackoff
 			r.noteEra(ctx, list.revision.Era)
 			r.post(ctx, func(s *state) { s.mergeList(list) })
 			select {
