roster: send the own record with notices of versions

Cause: such a node knows no others. It could not use a notice, for the version is to be fetched from a sender whose address it did not know, and waited until another node happened to gossip with it.

Now a notice has the sender's record, which is merged before the version is looked at.

--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -20,17 +20,18 @@
 )
 
 // deadNetwork is an Exchanger whose nodes are dead, other than those in live. It records
-// whom it asked.
+// whom it asked, and what.
 type deadNetwork struct {
 	live  map[string]bool // by address
 	mu    sync.Mutex
 	asked []string
+	sent  []Message
 }
 
-func (d *deadNetwork) Exchange(_ context.Context, address string, _ Message) (Message, error) {
+func (d *deadNetwork) Exchange(_ context.Context, address string, m Message) (Message, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.asked = append(d.asked, address)
+	d.asked, d.sent = append(d.asked, address), append(d.sent, m)
 	if !d.live[address] {
 		return Message{}, errUnavailable
 	}
--- a/internal/fleet/roster/fetch_test.go
+++ b/internal/fleet/roster/fetch_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
 )
 
 // TestSlowNodeHoldsUpTheFetchOfAVersion guards against a fetch that waits for one slow node of several.
@@ -31,3 +33,16 @@
 		is.Equal(behind.Snapshot().Policy.Version, uint64(5))
 	})
 }
+
+// TestNoticeOfUnknownNodeIsIgnored guards against notices that a node without a directory cannot use.
+func TestNoticeOfUnknownNodeIsIgnored(t *testing.T) {
+	is := is.New(t)
+	sender, network, _ := stateWith(3, nodeName(2))
+	sender.r.cfg.Self.Node, sender.r.cfg.Self.Address = nodeName(1), addressOf(nodeName(1))
+	is.True(sender.installPolicy([]byte("2"), gd.Revision{}, "store", 0))
+	runChanges(sender)
+	is.True(len(network.sent) > 0) // the nodes that it has notified
+	started, _, _ := stateWith(1)
+	started.receive(network.sent[0])
+	is.Equal(started.fetch.version, uint64(2))
+}
--- a/internal/fleet/roster/fleet_test.go
+++ b/internal/fleet/roster/fleet_test.go
@@ -231,14 +231,24 @@
 	return reply, ctx.Err()
 }
 
+// connect has a node respond at an address, or none.
+func (f *fleetNetwork) connect(address string, r *Roster) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[address] = r
+}
+
 // fleet is a fleet of rosters in the virtual time of a synctest bubble.
 type fleet struct {
 	store   *fleetStore
 	network *fleetNetwork
+	clock   bubbleClock
+	seed    uint64
 	names   []string
 	rosters map[string]*Roster
+	kill    map[string]context.CancelFunc // by node
 	random  *rand.Rand
-	stop    func()
+	running sync.WaitGroup
 }
 
 // newFleet starts n rosters within 0.3 s, all with the same seed, as nodes have that start in
@@ -247,37 +257,56 @@
 func newFleet(n int, seed uint64) *fleet {
 	f := &fleet{
 		store: newFleetStore(), network: &fleetNetwork{nodes: map[string]*Roster{}, slow: map[string]bool{}},
-		rosters: map[string]*Roster{}, random: rand.New(rand.NewPCG(seed, 7)),
+		clock: bubbleClock{time.Now()}, seed: seed, rosters: map[string]*Roster{}, kill: map[string]context.CancelFunc{},
+		random: rand.New(rand.NewPCG(seed, 7)),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	clk := bubbleClock{time.Now()}
-	var running sync.WaitGroup
 	f.store.put("config", "main", []byte("1"))
 	for i := range n {
 		self := server.Record{Node: fmt.Sprintf("vm-%d-%d", seed, i), Service: "shop", DataCentre: fmt.Sprint("dc-", i%4), Incarnation: 1}
-		self.Address = self.Node + ":1"
-		r := New(Config{
-			Self: self, Catalogue: storeClient{f.store, self.Node}, PolicyKind: "config", PolicyName: "main", ServerKind: "servers",
-			Decode: decodeVersion, Exchanger: f.network, Clock: clk, Log: hclog.NewNullLogger(), Seed: seed,
-		})
+		self.Address = addressOf(self.Node)
 		entry, _ := json.Marshal(self) // never fails
 		f.store.put("servers", self.Node, entry)
 		f.names = append(f.names, self.Node)
-		f.rosters[self.Node] = r
-		delay := time.Duration(f.random.Int64N(int64(300 * time.Millisecond)))
-		running.Go(func() {
-			time.Sleep(delay)
-			f.network.mu.Lock()
-			f.network.nodes[self.Address] = r
-			f.network.mu.Unlock()
-			_ = r.Run(ctx)
-		})
+		f.start(self, time.Duration(f.random.Int64N(int64(300*time.Millisecond))))
 	}
-	f.stop = func() { cancel(); running.Wait() }
 	time.Sleep(settleTime)
 	return f
 }
 
+// start starts a roster after a delay.
+func (f *fleet) start(self server.Record, delay time.Duration) {
+	r := New(Config{
+		Self: self, Catalogue: storeClient{f.store, self.Node}, PolicyKind: "config", PolicyName: "main", ServerKind: "servers",
+		Decode: decodeVersion, Exchanger: f.network, Clock: f.clock, Log: hclog.NewNullLogger(), Seed: f.seed,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.rosters[self.Node], f.kill[self.Node] = r, cancel
+	f.running.Go(func() {
+		time.Sleep(delay)
+		f.network.connect(self.Address, r)
+		_ = r.Run(ctx)
+	})
+}
+
+// restart kills nodes, which start again after a delay.
+func (f *fleet) restart(delay time.Duration, nodes []string) {
+	for _, node := range nodes {
+		f.kill[node]()
+		self := f.rosters[node].cfg.Self
+		self.Incarnation++
+		f.network.connect(self.Address, nil)
+		f.start(self, delay)
+	}
+}
+
+// stop kills all nodes and waits until they have ended.
+func (f *fleet) stop() {
+	for _, kill := range f.kill {
+		kill()
+	}
+	f.running.Wait()
+}
+
 // watchers returns the names of the n nodes that watch the policy in calm.
 func (f *fleet) watchers(n int) []string {
 	names := slices.Clone(f.names)
@@ -300,6 +329,13 @@
 	}
 }
 
+// refusedNodes returns the nodes that the store turns away.
+func (f *fleet) refusedNodes() []string {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.names), func(node string) bool { return f.store.refusals[node] == served })
+}
+
 // live returns the nodes that are not frozen.
 func (f *fleet) live() []string {
 	f.store.mu.Lock()
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -203,6 +203,7 @@
 		s.clearRefused(func(node string, _ time.Duration) bool { return node == m.Node })
 	}
 	s.enterEra(m.Era, "node "+m.Node)
+	s.merge(slices.DeleteFunc(slices.Clone(m.Records), func(r server.Record) bool { return !s.isNodeRecord(r, m.Node) }), m.Node)
 	if m.Version > s.version() {
 		if m.Policy != nil || m.Delta != nil {
 			s.receivePolicy(m)
@@ -213,7 +214,6 @@
 	if m.Version == s.version() && m.Checksum == s.checksum {
 		s.r.noteChecked(gd.Revision{Era: m.CheckedEra, Number: m.Checked})
 	}
-	s.merge(slices.DeleteFunc(slices.Clone(m.Records), func(r server.Record) bool { return !s.isNodeRecord(r, m.Node) }), m.Node)
 	s.mergeReports(m.Reports)
 }
 
@@ -325,9 +325,13 @@
 }
 
 // notify pushes the version of the policy in force to n random nodes, which then fetch the
-// policy. If one does not respond, it takes another in its place.
+// policy. If one does not respond, it takes another in its place. A node that has just started
+// may not know this one yet, so the message has its record.
 func (s *state) notify(n int) {
 	m := Message{Node: s.r.cfg.Self.Node, Push: true, Version: s.version()}
+	if own, ok := s.directory.Record(s.r.cfg.Self.Node); ok {
+		m.Records = []server.Record{own}
+	}
 	for _, rec := range s.randomNodes(n) {
 		s.r.tasks.Go(func() { s.r.sendToOne(s.ctx, rec, m, maxReplacing) })
 	}
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -60,6 +60,35 @@
 	}
 }
 
+// TestRefusedNodeHasNoPolicyAfterARestart guards against nodes that start while the store refuses
+// them, know no others, and ignore notices of nodes that they do not know.
+func TestRefusedNodeHasNoPolicyAfterARestart(t *testing.T) {
+	const limit = 3 * time.Second // the platform's rules hold for nodes that have run for that long
+	for _, n := range []int{13, 67} {
+		for _, down := range []time.Duration{100 * time.Millisecond, 3 * time.Second} {
+			for seed := range uint64(4) {
+				t.Run(fmt.Sprintf("%d-nodes/%v/%d", n, down, seed), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						f := newFleet(n, seed)
+						defer f.stop()
+						f.refuse(refused, 0.6)
+						time.Sleep(2 * time.Second)
+						nodes := f.refusedNodes()
+						f.restart(down, nodes[:len(nodes)/2])
+						time.Sleep(down)
+						took := f.change(2, 30*time.Second)
+						t.Logf("the version took %v", took)
+						if took > limit {
+							t.Errorf("the version was in force on all %d nodes after %v, want %v", n, took, limit)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestPollsReadAnUnchangedPolicyAgain guards against polls from a position that the history has lost.
 func TestPollsReadAnUnchangedPolicyAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
