roster: hand a watch on that reports nothing while others read versions

Cause: a watch without a response ends after 22 s; only then was it handed on. Until then polls alone find versions. A change ends the polls that wait, so that few wait when another comes 2 s later.

Now a node that watches and hears of a version from another node hands its watch on if it has not read the store itself within 1 s. Nodes that do so at the same time did not know of each other and named the same next node; one that learns of others then names the next ones again. Polls wait for up to 8 s, so that more of them wait when a change comes first; they are as many.

TestSilentWatchIsKept fails on the code before.

--- a/internal/fleet/roster/delta_test.go
+++ b/internal/fleet/roster/delta_test.go
@@ -110,6 +110,7 @@
 	is := is.New(t)
 	four, five, six := "4 "+strings.Repeat("a", 200), "5 "+strings.Repeat("b", 200), "6 "+strings.Repeat("a", 200)
 	s := &state{
+		ctx:       t.Context(),
 		r:         New(Config{Self: server.Record{Node: "own"}, Decode: decodeLeadingVersion, Clock: &clock.Fake{}, Log: hclog.NewNullLogger(), Seed: 1}),
 		changedAt: map[string]time.Duration{}, heardAt: map[string]time.Duration{},
 	}
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -13,7 +13,7 @@
 const (
 	callTimeout     = 2 * time.Second        // of a catalogue call; a watch gets its wait in addition
 	watchWait       = 20 * time.Second       // longest wait of a watch for a change
-	pollWait        = 4 * time.Second        // longest wait of a poll for a change
+	pollWait        = 8 * time.Second        // longest wait of a poll for a change
 	pollsPerSecond  = 2                      // over all nodes
 	minPollInterval = time.Second            // lower limit for one node, which knows no other nodes when it starts
 	listInterval    = 15 * time.Second       // mean pause between lists of the server records
@@ -86,12 +86,13 @@
 		r.cfg.Log.Info(event.StoreListed, "kind", r.cfg.PolicyKind, "revision", revision.String(), "in-force", r.policyRevision().String())
 	}
 	if cursor.failed {
-		r.post(ctx, (*state).regain)
 		r.cfg.Log.Info(event.StoreRegained, "kind", r.cfg.PolicyKind)
 		r.wakeLister() // server entries may have expired in the meantime
 	}
 	*cursor = policyCursor{listed: true, revision: revision}
 	r.post(ctx, func(s *state) {
+		s.readAt = gd.Later(s.readAt, revision)
+		s.regain()
 		readable := true
 		for _, e := range entries {
 			if e.Name == r.cfg.PolicyName && !e.Deleted && !s.installPolicy(e.Value, e.Revision, "store", 0) {
--- a/internal/fleet/roster/refusal.go
+++ b/internal/fleet/roster/refusal.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/server"
 )
@@ -24,24 +25,19 @@
 	// refusedHearsayTTL is how long others do not count on such a node, unless it says that the
 	// catalogue serves it again. It is longer than some tries.
 	refusedHearsayTTL = 30 * time.Second
+	// watchPatience is the time within which a watch must report a change that another node has
+	// read.
+	watchPatience = time.Second
 )
 
-// handOver records that the catalogue refuses this node, if it watches the policy, and has the
-// next ones watch in its place. If they are refused as well they do the same, so that the watch
-// reaches nodes that the catalogue serves within a few calls.
+// handOver has the next nodes watch the policy in place of this one, which the catalogue has
+// refused. If they are refused as well they do the same, so that the watch reaches nodes that
+// the catalogue serves within a few calls.
 func (r *Roster) handOver(ctx context.Context) {
 	done := make(chan struct{})
 	r.post(ctx, func(s *state) {
 		defer close(done)
-		if !r.IsWatcher() {
-			return
-		}
-		s.handedOver = true
-		s.setRefused(refusedTTL, r.cfg.Self.Node)
-		s.publishSnapshot()
-		next := r.watchers()
-		r.cfg.Log.Info(event.WatchHandedOver, "refused", len(s.refused), "to", nodesOf(next))
-		s.pushTo(next, Message{Refused: slices.Collect(maps.Keys(s.refused))})
+		s.handOver("a call was refused")
 	})
 	select {
 	case <-done:
@@ -49,6 +45,39 @@
 	}
 }
 
+// handOver records that the catalogue refuses this node, if it watches the policy, and has the
+// next ones watch in its place.
+func (s *state) handOver(reason string) {
+	if !s.r.IsWatcher() {
+		return
+	}
+	s.handedOver = true
+	s.setRefused(refusedTTL, s.r.cfg.Self.Node)
+	s.publishSnapshot()
+	s.r.cfg.Log.Info(event.WatchHandedOver, "reason", reason, "refused", len(s.refused), "to", nodesOf(s.r.watchers()))
+	s.pushRefused()
+}
+
+// pushRefused tells the nodes that are to watch the policy in whose place they do.
+func (s *state) pushRefused() {
+	s.pushTo(s.r.watchers(), Message{Refused: slices.Collect(maps.Keys(s.refused))})
+}
+
+// expectChange hands the watch over if it does not report soon that the policy has changed, as
+// another node has read: the call gets no response.
+func (s *state) expectChange(revision gd.Revision) {
+	if !s.r.IsWatcher() || !revision.After(s.readAt) {
+		return
+	}
+	time.AfterFunc(watchPatience, func() {
+		s.r.post(s.ctx, func(s *state) {
+			if revision.After(s.readAt) {
+				s.handOver("the watch reports no change")
+			}
+		})
+	})
+}
+
 // nodesOf returns the nodes of the records.
 func nodesOf(records []server.Record) []string {
 	var nodes []string
@@ -58,11 +87,19 @@
 	return nodes
 }
 
-// recordRefused records that the catalogue refuses the nodes, by the word of another node.
+// recordRefused records that the catalogue refuses the nodes, by the word of another node. Nodes
+// that hand the watch over at the same time do not know of each other, so one that learns more
+// names others in its place.
 func (s *state) recordRefused(nodes []string) {
 	others := slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return node == s.r.cfg.Self.Node })
-	if len(others) > 0 {
-		s.setRefused(refusedHearsayTTL, others...)
+	if len(others) == 0 {
+		return
+	}
+	known := len(s.refused)
+	s.setRefused(refusedHearsayTTL, others...)
+	if s.handedOver && len(s.refused) > known {
+		s.publishSnapshot()
+		s.pushRefused()
 	}
 }
 
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// TestSilentWatchIsKept guards against nodes that watch on without a response while others read versions.
+func TestSilentWatchIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(13, 1)
+		defer f.stop()
+		f.refuse(ignored, 0)
+		f.change(2, 30*time.Second)
+		time.Sleep(2 * watchPatience)
+		for _, node := range f.watchers(2 * watcherCount)[watcherCount:] {
+			if !f.rosters[node].IsWatcher() {
+				t.Errorf("%s does not watch in place of a node whose watch reports nothing", node)
+			}
+		}
+	})
+}
+
 // TestPollsReadAnUnchangedPolicyAgain guards against polls from a position that the history has lost.
 func TestPollsReadAnUnchangedPolicyAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
