--- a/internal/proxy/sidecar/request_test.go
+++ b/internal/proxy/sidecar/request_test.go
@@ -208,6 +208,29 @@
 	is.Equal(countRuns(f, "waiter"), 0)
 }
 
+// TestUnfinishedUploadOutlastsItsTimeout guards against requests that wait for a body past their route's timeout.
+func TestUnfinishedUploadOutlastsItsTimeout(t *testing.T) {
+	for name, sizes := range map[string]struct{ body, sent int }{
+		"nothing sent": {100_000, 0}, "half sent": {100_000, 50_000}, "half of a large body sent": {3_000_000, 1_500_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, fleet.Spec{Nodes: shopNodes(2), Slots: 4})
+			conn, err := net.Dial("tcp", f.VMs[0].Sidecar.Address("clients"))
+			is.NoErr(err)
+			defer conn.Close()
+			go func() {
+				fmt.Fprintf(conn, "POST /short/1 HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", fleet.Host, sizes.body)
+				_, _ = conn.Write(make([]byte, sizes.sent)) // ends with the connection
+			}()
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(res.StatusCode, http.StatusGatewayTimeout)
+			is.NoErr(res.Body.Close())
+		})
+	}
+}
+
 // TestClientDeadline checks that the server receives the time left until the
 // client's deadline.
 func TestClientDeadline(t *testing.T) {
