--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -19,7 +19,7 @@
 	PolicyRefused       = "policy-refused"
 	PolicyRead          = "policy-read"       // a call of the store for the policy has ended
 	PolicyOlder         = "policy-older"      // the version read is below the one in force
-	WatchHandedOver     = "watch-handed-over" // the store refuses this node, others watch in its place
+	WatchHandedOver     = "watch-handed-over" // the store does not serve this node, others watch in its place
 	ServerSeen          = "server-seen"
 	ServerForgotten     = "server-forgotten"
 	ServerAnnounced     = "server-announced"
