--- a/internal/fleet/roster/refusal.go
+++ b/internal/fleet/roster/refusal.go
@@ -63,8 +63,8 @@
 	s.pushTo(s.r.watchers(), Message{Refused: slices.Collect(maps.Keys(s.refused))})
 }
 
-// expectChange hands the watch over if it does not report soon that the policy has changed, as
-// another node has read: the call gets no response.
+// expectChange hands the watch over unless this node soon reads the catalogue as of the given
+// revision, at which another node has read the policy: the call of the watch may get no response.
 func (s *state) expectChange(revision gd.Revision) {
 	if !s.r.IsWatcher() || !revision.After(s.readAt) {
 		return
