soak: a loopback address for each process

Cause: a port is found free and used some time later by another process. Two soaks looked in one range of ports of 127.0.0.1, from places that depend on their process IDs modulo 20,000.

Now the nodes of a soak listen on a loopback address that depends on the process ID, one for each of the 2^22 that there can be. TestSoaksTakeEachOthersPorts has nothing to call on the code before.

--- a/internal/load/soak/process.go
+++ b/internal/load/soak/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -116,13 +117,18 @@
 // portCount.
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(int64(os.Getpid()) * 997) } // makes concurrent soak runs unlikely to use the same ports
+// hostOf returns the loopback address on which the nodes and servers of a soak listen, by its
+// process ID. Soaks that run at the same time must not take each other's ports between the
+// search for a free one and its use.
+func hostOf(pid int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 64 + byte(pid>>16)&63, byte(pid >> 8), byte(pid)})
+}
 
 // freeAddresses returns loopback addresses with ports that are not in use.
 func freeAddresses(count int) ([]string, error) {
 	var list []string
 	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		address := netip.AddrPortFrom(hostOf(os.Getpid()), uint16(firstPort+nextPort.Add(1)%portCount)).String()
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue // the port is in use
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -143,6 +145,22 @@
 	is.True(r.Served > 0)
 }
 
+// TestSoaksTakeEachOthersPorts guards against ports that another soak finds free before their use.
+func TestSoaksTakeEachOthersPorts(t *testing.T) {
+	is := is.New(t)
+	hosts := map[netip.Addr]bool{}
+	for _, pid := range []int{1, 2, 255, 256, 257, 65_535, 65_536, 1 << 21, 1<<22 - 1} {
+		is.True(hostOf(pid).IsLoopback())
+		hosts[hostOf(pid)] = true
+	}
+	is.Equal(len(hosts), 9)
+	free, err := freeAddresses(1)
+	is.NoErr(err)
+	host, _, err := net.SplitHostPort(free[0])
+	is.NoErr(err)
+	is.Equal(host, hostOf(os.Getpid()).String())
+}
+
 // TestScheduleRoundTrip checks that generated schedules are the same after they
 // were encoded and read.
 func TestScheduleRoundTrip(t *testing.T) {
