roster: three polls a second again; a test of versions after the store drops its history

The store dropped its history at 1 s; version 7 was acknowledged at 2.5 s, and at 5.4 s a node still had version 4.

Cause, from the log of the replay: watches and polls that wait are cut off without a response and end by their time limits, 10 to 22 s later. Only polls that begin later find the version, and list it (0.6 s).

So three are back, as before this incident.

--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -14,7 +14,7 @@
 	callTimeout     = 2 * time.Second        // of a catalogue call; a watch gets its wait in addition
 	watchWait       = 20 * time.Second       // longest wait of a watch for a change
 	pollWait        = 8 * time.Second        // longest wait of a poll for a change
-	pollsPerSecond  = 2                      // over all nodes
+	pollsPerSecond  = 3                      // over all nodes
 	minPollInterval = time.Second            // lower limit for one node, which knows no other nodes when it starts
 	listInterval    = 15 * time.Second       // mean pause between lists of the server records
 	firstBackoff    = 100 * time.Millisecond // mean pause before the first retry of a failed call
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -105,6 +105,29 @@
 	})
 }
 
+// TestVersionIsLateAfterTheStoreDropsItsHistory guards against versions that only watches would have
+// reported, which the store cuts off without a response.
+func TestVersionIsLateAfterTheStoreDropsItsHistory(t *testing.T) {
+	for _, n := range []int{13, 67} {
+		for seed := range uint64(8) {
+			t.Run(fmt.Sprintf("%d-nodes/%d", n, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(n, seed)
+					defer f.stop()
+					time.Sleep(time.Duration(f.random.Int64N(int64(20 * time.Second))))
+					f.store.compact()
+					took := f.change(2, 30*time.Second)
+					t.Logf("the version took %v", took)
+					if took > spreadBounds[n] {
+						t.Errorf("the version was in force on all %d nodes after %v, want %v", n, took, spreadBounds[n])
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestPollsReadAnUnchangedPolicyAgain guards against polls from a position that the history has lost.
 func TestPollsReadAnUnchangedPolicyAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
