roster: poll in turn

Cause: only polls that begin afterwards find the version, and each node drew its pauses by itself, so that over the fleet polls come by chance: with three a second there is none for 1.5 s in 1 of 90 cases.

Now the nodes that respond poll one after the other, in the order of their hashes, by the time of day: at 67 nodes one poll begins every third of a second. A node waits for its turn again if the nodes that respond change. Clocks that differ make the turns random, which is what they were. The calls are as many.

--- a/internal/fleet/roster/contact_test.go
+++ b/internal/fleet/roster/contact_test.go
@@ -118,7 +118,7 @@
 	waited := make(chan struct{})
 	go func() {
 		defer close(waited)
-		s.r.awaitPoll(context.Background(), 0)
+		s.r.awaitPoll(context.Background())
 	}()
 	for i := 1; i < 1000; i++ {
 		s.recordFailure(nodeName(i))
@@ -274,7 +274,7 @@
 			s.r.random = rand.New(rand.NewPCG(uint64(i), 0))
 			s.r.cfg.Self.Node = "zz" // not among the candidates
 			running.Go(func() {
-				s.r.awaitPoll(context.Background(), 0)
+				s.r.awaitPoll(context.Background())
 				mu.Lock()
 				defer mu.Unlock()
 				polls = append(polls, time.Since(began))
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -39,15 +41,13 @@
 	var cursor policyCursor
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		began := r.cfg.Clock.Monotonic()
 		err := r.pollPolicy(ctx, &cursor)
-		took := r.cfg.Clock.Monotonic() - began
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
 			backoff = firstBackoff
-			r.awaitPoll(ctx, took)
+			r.awaitPoll(ctx)
 			continue
 		case gd.Expired.Is(err):
 			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", gd.Later(cursor.revision, r.checkedRevision()).String())
@@ -59,7 +59,7 @@
 		}
 		r.handOver(ctx)
 		if r.Snapshot().Policy != nil {
-			r.awaitPoll(ctx, took) // other nodes read later versions meanwhile
+			r.awaitPoll(ctx) // other nodes read later versions meanwhile
 			continue
 		}
 		r.sleep(ctx, r.jitter(backoff))
@@ -130,15 +130,11 @@
 	return entries, revision, err
 }
 
-// awaitPoll waits until the next poll is due, after one that took the given time, or until this
-// node is one of those that watch the policy. The nodes that respond, on which both depend, may
-// change meanwhile. Pauses are distributed exponentially: a change of their mean then makes no
-// nodes poll together.
-func (r *Roster) awaitPoll(ctx context.Context, took time.Duration) {
-	left := r.exponential() // in mean pauses
-	for ctx.Err() == nil && !r.IsWatcher() && left > 0 {
-		began, pause := r.cfg.Clock.Monotonic(), max(r.pollInterval()-took, minPollInterval)
-		t := time.NewTimer(time.Duration(left * float64(pause)))
+// awaitPoll waits until it is this node's turn to poll, or until this node is one of those that
+// watch the policy. The nodes that respond, on which both depend, may change meanwhile.
+func (r *Roster) awaitPoll(ctx context.Context) {
+	for ctx.Err() == nil && !r.IsWatcher() {
+		t := time.NewTimer(r.untilTurn())
 		select {
 		case <-t.C:
 			return
@@ -146,10 +142,31 @@
 		case <-ctx.Done():
 		}
 		t.Stop()
-		left -= float64(r.cfg.Clock.Monotonic()-began) / float64(pause)
 	}
 }
 
+// untilTurn returns the time until this node's next turn to poll. The nodes that respond poll one
+// after the other, in the order of their hashes, so that no change depends on chance if watches
+// do not report it. Their clocks need not agree: the turns then are at random times.
+func (r *Roster) untilTurn() time.Duration {
+	snapshot := r.snapshot.Load()
+	self := xxhash.Sum64String(r.cfg.Self.Node)
+	rank, n := 0, 1
+	for rec := range snapshot.Directory.All() {
+		if rec.Node == r.cfg.Self.Node || snapshot.IsSilent(rec.Node) {
+			continue
+		}
+		n++
+		if xxhash.Sum64String(rec.Node) < self {
+			rank++
+		}
+	}
+	interval := r.pollInterval()
+	phase := interval * time.Duration(rank) / time.Duration(n)
+	now := time.Duration(r.cfg.Clock.Now()) * time.Millisecond
+	return interval - (now-phase)%interval
+}
+
 // pollInterval returns the mean time from one poll of this node to the next. It grows
 // with the number of nodes that respond, so that the rate over all nodes is bounded.
 func (r *Roster) pollInterval() time.Duration {
@@ -230,13 +247,6 @@
 	return d/2 + time.Duration(r.randomN(int64(d)))
 }
 
-// exponential returns an exponentially distributed random number with a mean of 1.
-func (r *Roster) exponential() float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.random.ExpFloat64()
-}
-
 // randomN returns a random number in [0, n).
 func (r *Roster) randomN(n int64) int64 {
 	r.mu.Lock()
