--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -91,7 +89,7 @@
 	}
 	*cursor = policyCursor{listed: true, revision: revision}
 	r.post(ctx, func(s *state) {
-		s.readAt = gd.Later(s.readAt, revision)
+		s.readRevision = gd.Later(s.readRevision, revision)
 		s.regain()
 		readable := true
 		for _, e := range entries {
@@ -145,29 +143,19 @@
 	}
 }
 
-// untilTurn returns the time until this node's next turn to poll. The nodes that respond poll one
-// after the other, in the order of their hashes, so that no change depends on chance if watches
-// do not report it. Their clocks need not agree: the turns then are at random times.
+// untilTurn returns the time until this node's next turn to poll. The nodes that respond take
+// turns by the time of day, so that polls begin at even intervals over all nodes and soon find
+// what the watches do not report. Nodes whose clocks differ poll at other times, as often.
 func (r *Roster) untilTurn() time.Duration {
-	snapshot := r.snapshot.Load()
-	self := xxhash.Sum64String(r.cfg.Self.Node)
-	rank, n := 0, 1
-	for rec := range snapshot.Directory.All() {
-		if rec.Node == r.cfg.Self.Node || snapshot.IsSilent(rec.Node) {
-			continue
-		}
-		n++
-		if xxhash.Sum64String(rec.Node) < self {
-			rank++
-		}
-	}
+	nodes := r.inOrder()
+	rank := slices.IndexFunc(nodes, func(rec server.Record) bool { return rec.Node == r.cfg.Self.Node })
 	interval := r.pollInterval()
-	phase := interval * time.Duration(rank) / time.Duration(n)
+	phase := interval * time.Duration(rank) / time.Duration(len(nodes))
 	now := time.Duration(r.cfg.Clock.Now()) * time.Millisecond
 	return interval - (now-phase)%interval
 }
 
-// pollInterval returns the mean time from one poll of this node to the next. It grows
+// pollInterval returns the time from one poll of this node to the next. It grows
 // with the number of nodes that respond, so that the rate over all nodes is bounded.
 func (r *Roster) pollInterval() time.Duration {
 	return max(time.Duration(r.snapshot.Load().Responding())*time.Second/pollsPerSecond, minPollInterval)
--- a/internal/fleet/roster/refusal.go
+++ b/internal/fleet/roster/refusal.go
@@ -66,12 +66,12 @@
 // expectChange hands the watch over unless this node soon reads the catalogue as of the given
 // revision, at which another node has read the policy: the call of the watch may get no response.
 func (s *state) expectChange(revision gd.Revision) {
-	if !s.r.IsWatcher() || !revision.After(s.readAt) {
+	if !s.r.IsWatcher() || !revision.After(s.readRevision) {
 		return
 	}
 	time.AfterFunc(watchPatience, func() {
 		s.r.post(s.ctx, func(s *state) {
-			if revision.After(s.readAt) {
+			if revision.After(s.readRevision) {
 				s.handOver("the watch reports no change")
 			}
 		})
@@ -148,17 +148,24 @@
 	return ok
 }
 
-// candidates returns the nodes that respond and whose names have the lowest hashes, so that all
-// nodes agree on them.
-func (r *Roster) candidates() []server.Record {
+// inOrder returns this node and the others that respond, in the order of the hashes of their
+// names, on which all nodes agree.
+func (r *Roster) inOrder() []server.Record {
 	snapshot := r.snapshot.Load()
-	others := slices.DeleteFunc(snapshot.Directory.Records(), func(rec server.Record) bool {
-		return rec.Node == r.cfg.Self.Node || rec.State == server.Gone || snapshot.IsSilent(rec.Node)
+	nodes := slices.DeleteFunc(snapshot.Directory.Records(), func(rec server.Record) bool {
+		return rec.Node == r.cfg.Self.Node || snapshot.IsSilent(rec.Node)
 	})
-	candidates := append(others, r.cfg.Self)
-	slices.SortFunc(candidates, func(a, b server.Record) int {
+	nodes = append(nodes, r.cfg.Self)
+	slices.SortFunc(nodes, func(a, b server.Record) int {
 		return cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node))
 	})
+	return nodes
+}
+
+// candidates returns the nodes that respond and whose names have the lowest hashes, so that all
+// nodes agree on them.
+func (r *Roster) candidates() []server.Record {
+	candidates := slices.DeleteFunc(r.inOrder(), func(rec server.Record) bool { return rec.State == server.Gone })
 	return candidates[:min(candidateCount, len(candidates))]
 }
 
--- a/internal/fleet/roster/refusal_test.go
+++ b/internal/fleet/roster/refusal_test.go
@@ -80,7 +80,7 @@
 	is.Equal(len(s.r.watchers()), 0)
 }
 
-// TestRefusedPollerBreaksTheChain guards against a node that is told to watch after a refused poll and does not.
+// TestRefusedPollerBreaksTheChain guards against a node that, told to watch, does not because its last poll was refused.
 func TestRefusedPollerBreaksTheChain(t *testing.T) {
 	is := is.New(t)
 	s, _ := watcherAmong(100, watcherCount)
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -119,7 +119,7 @@
 	refused         map[string]time.Duration   // by node: until when it is taken to be refused by the catalogue; replaced as a whole
 	reachGeneration uint64                     // increases when silent or refused is replaced
 	handedOver      bool                       // others watch the policy in place of this node
-	readAt          gd.Revision                // of the catalogue when this node read the policy last
+	readRevision    gd.Revision                // of the catalogue when this node read the policy last
 	removalAt       time.Duration              // when requestRemovals requested a list last
 	forgotten       map[string]server.Record   // by node: records dropped, so that other nodes do not restore them
 	left            bool                       // Leave was called
