gossip: take another partner if one does not respond

Now a round of gossip goes on to another partner after 0.3 s without a response, or at once after an error, up to three. In calm nothing changes.

The partners that the test's network counts are those of queries only now, which the older test of stuck partners meets too.

--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -21,6 +21,7 @@
 	exchangeTimeout = 1500 * time.Millisecond
 	// exchangePatience is the time after which another node is asked as well.
 	exchangePatience = 300 * time.Millisecond
+	gossipTries      = 3  // nodes asked at most, each if the one before does not respond soon
 	maxPushes        = 32 // pushes of one node in flight
 	maxSlowPushes    = 8  // the same for nodes that do not respond, which must not hold up the others
 	// fanOut is the number of nodes that a node notifies of a new version. A
@@ -54,7 +55,8 @@
 	Served      bool                `cbor:"20,keyasint,omitempty"` // the catalogue serves the sender again
 }
 
-// gossip exchanges messages with random nodes until ctx ends.
+// gossip exchanges messages with random nodes until ctx ends. If one does not respond soon, it
+// takes another in its place.
 func (r *Roster) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.sleep(ctx, r.jitter(gossipInterval))
@@ -63,7 +65,7 @@
 		done := make(chan struct{})
 		r.post(ctx, func(s *state) {
 			s.retrySilent()
-			partners, query = s.randomNodes(1), s.summary()
+			partners, query = s.randomNodes(gossipTries), s.summary()
 			close(done)
 		})
 		select {
@@ -72,7 +74,10 @@
 			return
 		}
 		for _, partner := range partners {
-			r.runWithin(exchangePatience, func() { r.exchange(ctx, partner, query) })
+			var err error
+			if r.runWithin(exchangePatience, func() { err = r.exchange(ctx, partner, query) }) && err == nil {
+				break
+			}
 		}
 	}
 }
@@ -128,11 +133,11 @@
 }
 
 // exchange sends a query to a node, merges the reply, and pushes what the node is
-// missing.
-func (r *Roster) exchange(ctx context.Context, with server.Record, query Message) {
+// missing. An error means that the node did not respond to the query.
+func (r *Roster) exchange(ctx context.Context, with server.Record, query Message) error {
 	reply, err := r.ask(ctx, with, query)
 	if err != nil {
-		return
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -146,12 +151,13 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		return
+		return nil
 	}
 	if update.Policy != nil || update.Delta != nil || update.Records != nil || update.Reports != nil {
 		update.Push = true
 		_, _ = r.ask(ctx, with, update) // ask logs the error
 	}
+	return nil
 }
 
 // ask sends a message to a node and returns its reply. It records whether the node responds.
--- a/internal/fleet/roster/gossip_test.go
+++ b/internal/fleet/roster/gossip_test.go
@@ -160,41 +160,71 @@
 
 var _ Exchanger = (*memoryNetwork)(nil)
 
-// stuckNetwork is an Exchanger whose nodes do not respond. It records whom it asked.
+// stuckNetwork is an Exchanger whose nodes do not respond. It records to whom it sent queries.
 type stuckNetwork struct {
 	mu    sync.Mutex
 	asked map[string]bool // by address
 }
 
-func (s *stuckNetwork) Exchange(ctx context.Context, address string, _ Message) (Message, error) {
+func (s *stuckNetwork) Exchange(ctx context.Context, address string, m Message) (Message, error) {
 	s.mu.Lock()
-	s.asked[address] = true
+	if !m.Push {
+		s.asked[address] = true
+	}
 	s.mu.Unlock()
 	<-ctx.Done()
 	return Message{}, ctx.Err()
 }
 
+// count returns the number of nodes that were asked.
+func (s *stuckNetwork) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.asked)
+}
+
+// startAmongStuckNodes starts a roster that knows 30 others, which do not respond.
+func startAmongStuckNodes(network *stuckNetwork) (stop func()) {
+	r := New(Config{
+		Self: server.Record{Node: "own", Address: "own:1"}, Catalogue: unavailable{}, Decode: decodeVersion,
+		Exchanger: network, Clock: bubbleClock{time.Now()}, Log: hclog.NewNullLogger(), Seed: 1,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = r.Run(ctx) })
+	var records []server.Record
+	for i := range 30 {
+		records = append(records, server.Record{Node: nodeName(i), Address: addressOf(nodeName(i)), Service: "shop", Incarnation: 1})
+	}
+	send(r, Message{Push: true, Records: records})
+	return func() { cancel(); running.Wait() }
+}
+
 // TestStuckPartnersHoldUpGossip guards against gossip that waits for partners that stand still.
 func TestStuckPartnersHoldUpGossip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := &stuckNetwork{asked: map[string]bool{}}
-		r := New(Config{
-			Self: server.Record{Node: "own", Address: "own:1"}, Catalogue: unavailable{}, Decode: decodeVersion,
-			Exchanger: network, Clock: bubbleClock{time.Now()}, Log: hclog.NewNullLogger(), Seed: 1,
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		running.Go(func() { _ = r.Run(ctx) })
-		var records []server.Record
-		for i := range 30 {
-			records = append(records, server.Record{Node: nodeName(i), Address: addressOf(nodeName(i)), Service: "shop", Incarnation: 1})
-		}
-		send(r, Message{Push: true, Records: records})
+		stop := startAmongStuckNodes(network)
 		time.Sleep(10 * time.Second)
-		cancel()
-		running.Wait()
-		if len(network.asked) < 8 {
-			t.Errorf("%d partners were asked in 10 s, want at least 8", len(network.asked))
+		stop()
+		if n := network.count(); n < 8 {
+			t.Errorf("%d partners were asked in 10 s, want at least 8", n)
+		}
+	})
+}
+
+// TestStuckPartnerIsNotReplaced guards against a node that learns nothing because its partners stand still.
+func TestStuckPartnerIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &stuckNetwork{asked: map[string]bool{}}
+		stop := startAmongStuckNodes(network)
+		for network.count() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep((gossipTries - 1) * exchangePatience)
+		if n := network.count(); n != gossipTries {
+			t.Errorf("%d partners were asked, want %d", n, gossipTries)
 		}
+		stop()
 	})
 }
