--- a/internal/fleet/roster/contact.go
+++ b/internal/fleet/roster/contact.go
@@ -137,7 +137,7 @@
 		x.retryAt = now + s.r.jitter(maxRetry)
 		s.setSilent(node, x)
 		query := s.summary()
-		s.r.tasks.Go(func() { s.r.exchange(s.ctx, rec, query) })
+		s.r.tasks.Go(func() { _ = s.r.exchange(s.ctx, rec, query) }) // ask logs the error
 		return
 	}
 }
--- a/internal/fleet/roster/fetch.go
+++ b/internal/fleet/roster/fetch.go
@@ -50,7 +50,7 @@
 		impatient := time.AfterFunc(exchangePatience, func() {
 			s.r.post(s.ctx, func(s *state) { s.fetchNext(version) })
 		})
-		s.r.exchange(s.ctx, from, query)
+		_ = s.r.exchange(s.ctx, from, query) // ask logs the error
 		impatient.Stop()
 		s.r.post(s.ctx, func(s *state) { s.endFetch(version) })
 	})
