--- a/internal/fleet/roster/refusal_test.go
+++ b/internal/fleet/roster/refusal_test.go
@@ -80,11 +80,11 @@
 	is.Equal(len(s.r.watchers()), 0)
 }
 
-// TestRefusedPollerBreaksTheChain guards against a node that, told to watch, does not because its last poll was refused.
+// TestRefusedPollerBreaksTheChain guards against a watch that ends with a node whose last poll was refused.
 func TestRefusedPollerBreaksTheChain(t *testing.T) {
 	is := is.New(t)
 	s, _ := watcherAmong(100, watcherCount)
-	handOver(s) // after a poll
+	handOver(s) // a poll was refused, which hands nothing over
 	s.recordRefused(nodesOf(s.r.watchers())[:1])
 	s.publishSnapshot()
 	is.True(s.r.IsWatcher())
