--- a/cmd/geraniumdock/serve.go
+++ b/cmd/geraniumdock/serve.go
@@ -108,8 +108,9 @@
 }
 
 type checkCommand struct {
-	Sheet string `long:"sheet" choice:"rows" choice:"services" choice:"callers" default:"rows" description:"sheet that the CSV files contain"`
-	Args  struct {
+	Sheet   string `long:"sheet" choice:"rows" choice:"services" choice:"callers" default:"rows" description:"sheet that the CSV files contain"`
+	InForce string `long:"in-force" value-name:"FILE" description:"policy in force (.json), with which the policies are compared"`
+	Args    struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 }
@@ -129,6 +130,9 @@
 }
 
 func (c *checkCommand) check(file string) error {
+	if filepath.Ext(file) == ".json" {
+		return checkPolicy(os.Stdout, file, c.InForce)
+	}
 	if filepath.Ext(file) != ".csv" && isSettings(file) {
 		_, err := settings.Read(file)
 		if isSidecar(file) {
--- a/internal/call/route/route.go
+++ b/internal/call/route/route.go
@@ -66,6 +66,7 @@
 	hosts   map[string]map[string]*Route // by host and prefix
 	count   int
 
+	services   []string
 	workspaces map[string]*Workspace // by name
 	keys       map[string]*Workspace
 }
@@ -74,7 +75,7 @@
 // that names the first invalid route. The routes may only refer to the given
 // services.
 func New(version uint64, limits Limits, services []string, routes []Route) (*Policy, error) {
-	p := &Policy{Version: version, Limits: limits, hosts: map[string]map[string]*Route{}, count: len(routes)}
+	p := &Policy{Version: version, Limits: limits, hosts: map[string]map[string]*Route{}, count: len(routes), services: services}
 	if limits.HeaderBytes <= 0 || limits.BodyBytes <= 0 || limits.HeaderTimeout <= 0 || limits.IdleTimeout <= 0 {
 		return nil, gd.Invalid.Errorf("limits: every limit must be above 0")
 	}
