--- a/internal/fleet/roster/fleet_test.go
+++ b/internal/fleet/roster/fleet_test.go
@@ -53,6 +53,7 @@
 	times    []time.Time    // of the changes
 	dropped  uint64         // the history up to this revision is gone
 	cuts     int            // how often the waiting watches were cut off
+	expires  bool           // waiting watches end at once with an error of kind Expired when they are cut off
 }
 
 func newFleetStore() *fleetStore {
@@ -107,7 +108,8 @@
 	return list, gd.Revision{Era: 1, Number: s.revision}
 }
 
-// compact drops the history and cuts off the watches that wait, which get no response.
+// compact drops the history and cuts off the watches that wait, which get no response unless
+// s.expires is set.
 func (s *fleetStore) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -197,6 +199,9 @@
 		list, latest := c.store.since(kind, revision.Number)
 		changed, cuts := c.store.changed, c.store.cuts
 		c.store.mu.Unlock()
+		if cuts != began && c.store.expires {
+			return nil, gd.Revision{}, gd.Expired.Errorf("the history after revision %s is gone", revision)
+		}
 		if cuts != began {
 			<-ctx.Done()
 			return nil, gd.Revision{}, ctx.Err()
--- a/internal/fleet/roster/follow.go
+++ b/internal/fleet/roster/follow.go
@@ -20,6 +20,9 @@
 	firstBackoff    = 100 * time.Millisecond // mean pause before the first retry of a failed call
 	maxBackoff      = time.Second
 	maxListBackoff  = 5 * time.Second // the same for lists after the first one
+	// expiredPatience is the time within which the catalogue responds to a position that its
+	// history has lost. A later response ends the wait of a call, as it does at other nodes.
+	expiredPatience = 300 * time.Millisecond
 	expiryInterval  = 250 * time.Millisecond
 	// missingTimeout is the time within which a node whose entry is missing in
 	// the catalogue must write it again or send a message.
@@ -39,6 +42,7 @@
 	var cursor policyCursor
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		began := r.cfg.Clock.Monotonic()
 		err := r.pollPolicy(ctx, &cursor)
 		switch {
 		case ctx.Err() != nil:
@@ -48,8 +52,12 @@
 			r.awaitPoll(ctx)
 			continue
 		case gd.Expired.Is(err):
-			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", gd.Later(cursor.revision, r.checkedRevision()).String())
+			r.cfg.Log.Info(event.StoreHistoryLost, "kind", r.cfg.PolicyKind, "revision", cursor.after.String())
 			cursor.listed = false
+			if r.cfg.Clock.Monotonic()-began > expiredPatience {
+				// The catalogue has ended the waits of all nodes. Those that watch list the policy at once.
+				r.awaitPoll(ctx)
+			}
 			continue
 		case !cursor.failed:
 			r.cfg.Log.Warn(event.StoreLost, "kind", r.cfg.PolicyKind, "error", gd.Message(err))
@@ -69,25 +77,35 @@
 type policyCursor struct {
 	listed   bool // the entries have been listed; only changes since revision are read
 	revision gd.Revision
-	failed   bool // the last call failed
+	after    gd.Revision // of the last call: it read the changes since
+	failed   bool        // the last call failed
+}
+
+// isListNeeded reports whether changes cannot be read: the entries have not been listed, or the
+// history since then is lost and no other node has read the policy in force at a later revision.
+func (c *policyCursor) isListNeeded(checked gd.Revision) bool {
+	return !c.listed && (c.after == gd.Revision{} || !checked.After(c.after))
 }
 
 // pollPolicy reads the policy's entry, or its changes since the last call, and
 // installs the policy.
 func (r *Roster) pollPolicy(ctx context.Context, cursor *policyCursor) error {
-	entries, revision, err := r.readPolicy(ctx, *cursor)
+	checked := r.checkedRevision()
+	isList := cursor.isListNeeded(checked)
+	cursor.after = gd.Later(cursor.revision, checked)
+	entries, revision, err := r.readPolicy(ctx, *cursor, isList)
 	if err != nil {
 		return err
 	}
 	r.noteEra(ctx, revision.Era)
-	if !cursor.listed {
+	if isList {
 		r.cfg.Log.Info(event.StoreListed, "kind", r.cfg.PolicyKind, "revision", revision.String(), "in-force", r.policyRevision().String())
 	}
 	if cursor.failed {
 		r.cfg.Log.Info(event.StoreRegained, "kind", r.cfg.PolicyKind)
 		r.wakeLister() // server entries may have expired in the meantime
 	}
-	*cursor = policyCursor{listed: true, revision: revision}
+	*cursor = policyCursor{listed: true, revision: revision, after: cursor.after}
 	r.post(ctx, func(s *state) {
 		s.readRevision = gd.Later(s.readRevision, revision)
 		s.regain()
@@ -104,11 +122,11 @@
 	return nil
 }
 
-// readPolicy returns the policy's entry if it has changed since the last call, or all entries
-// if there was none.
-func (r *Roster) readPolicy(ctx context.Context, cursor policyCursor) (entries []gd.Entry, revision gd.Revision, err error) {
-	call, after, began := "list", gd.Later(cursor.revision, r.checkedRevision()), r.cfg.Clock.Monotonic()
-	if cursor.listed {
+// readPolicy returns all entries if isList is set, and otherwise the policy's entry if it has
+// changed since cursor.after.
+func (r *Roster) readPolicy(ctx context.Context, cursor policyCursor, isList bool) (entries []gd.Entry, revision gd.Revision, err error) {
+	call, after, began := "list", cursor.after, r.cfg.Clock.Monotonic()
+	if !isList {
 		wait := min(pollWait, r.pollInterval()/2) // later polls notice what a watch does not report
 		call = "poll"
 		if r.IsWatcher() && !cursor.failed {
@@ -143,12 +161,16 @@
 	}
 }
 
-// untilTurn returns the time until this node's next turn to poll. The nodes that respond take
-// turns by the time of day, so that polls begin at even intervals over all nodes and soon find
-// what the watches do not report. Nodes whose clocks differ poll at other times, as often.
+// untilTurn returns the time until this node's next turn to poll. The nodes that respond and do
+// not watch take turns by the time of day, so that polls begin at even intervals over all nodes
+// and soon find what the watches do not report. Nodes whose clocks differ poll at other times, as
+// often. Those that disagree on one node in n poll at most an nth of the interval off their turn.
 func (r *Roster) untilTurn() time.Duration {
-	nodes := r.inOrder()
-	rank := slices.IndexFunc(nodes, func(rec server.Record) bool { return rec.Node == r.cfg.Self.Node })
+	self, watchers := r.cfg.Self.Node, nodesOf(r.watchers())
+	nodes := slices.DeleteFunc(r.inOrder(), func(rec server.Record) bool {
+		return rec.Node != self && (rec.State == server.Gone || slices.Contains(watchers, rec.Node))
+	})
+	rank := slices.IndexFunc(nodes, func(rec server.Record) bool { return rec.Node == self })
 	interval := r.pollInterval()
 	phase := interval * time.Duration(rank) / time.Duration(len(nodes))
 	now := time.Duration(r.cfg.Clock.Now()) * time.Millisecond
@@ -156,9 +178,17 @@
 }
 
 // pollInterval returns the time from one poll of this node to the next. It grows
-// with the number of nodes that respond, so that the rate over all nodes is bounded.
+// with the number of nodes, so that the rate over all nodes is bounded. Nodes with different
+// intervals poll at times that have nothing to do with each other. They seldom agree on which
+// others respond, so a few silent nodes make no difference, and more of them do in steps of a
+// quarter.
 func (r *Roster) pollInterval() time.Duration {
-	return max(time.Duration(r.snapshot.Load().Responding())*time.Second/pollsPerSecond, minPollInterval)
+	snapshot := r.snapshot.Load()
+	n, responding := max(1, snapshot.Directory.Len()), snapshot.Responding()
+	for responding <= n*3/4 {
+		n = n * 3 / 4
+	}
+	return max(time.Duration(n)*time.Second/pollsPerSecond, minPollInterval)
 }
 
 // followServers lists the server records at the start, periodically, and when the
--- a/internal/fleet/roster/spread_test.go
+++ b/internal/fleet/roster/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,6 +129,63 @@
 	}
 }
 
+// TestPollsOfNodesThatDisagreeClump guards against long times without a poll while each node takes
+// another few for silent, as after they have started together. Their intervals and turns differed,
+// so that the polls began in clumps.
+func TestPollsOfNodesThatDisagreeClump(t *testing.T) {
+	const nodes, limit = 13, 900 * time.Millisecond // 10 nodes poll, every 0.43 s
+	synctest.Test(t, func(t *testing.T) {
+		for range 50 {
+			time.Sleep(777 * time.Millisecond) // the turns depend on the time of day
+			turns := []time.Duration{0}
+			var interval time.Duration
+			for i := range nodes {
+				s, _, _ := stateWith(nodes)
+				s.r.cfg.Self.Node, s.r.cfg.Clock = nodeName(i), bubbleClock{time.Now()}
+				for n := range i % 4 {
+					s.recordFailure(nodeName((i + 1 + n) % nodes))
+				}
+				s.publishSnapshot()
+				if !s.r.IsWatcher() {
+					turns = append(turns, s.r.untilTurn())
+				}
+				interval = max(interval, s.r.pollInterval())
+			}
+			turns = append(turns, interval)
+			slices.Sort(turns)
+			for i, turn := range turns[1:] {
+				if pause := turn - turns[i]; pause > limit {
+					t.Fatalf("no node polls for %v, want at most %v (turns %v)", pause, limit, turns)
+				}
+			}
+		}
+	})
+}
+
+// TestAllNodesListThePolicyAtOnce guards against a list by each node whose call waits when the
+// store drops its history and ends the waits. One that watches must list the policy at once, and
+// report a version written then.
+func TestAllNodesListThePolicyAtOnce(t *testing.T) {
+	const nodes, limit = 67, 12 // in 2 s: 3 that watch, and 6 that have their turn
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(nodes, 1)
+		defer f.stop()
+		f.store.expires = true
+		time.Sleep(20 * time.Second)
+		before := f.store.lists("config")
+		f.store.compact()
+		took := f.change(2, 30*time.Second)
+		time.Sleep(2 * time.Second)
+		t.Logf("the version took %v", took)
+		if lists := f.store.lists("config") - before; lists > limit {
+			t.Errorf("%d nodes listed the policy within 2 s, want at most %d", lists, limit)
+		}
+		if took > spreadBounds[nodes] {
+			t.Errorf("the version was in force on all nodes after %v, want %v", took, spreadBounds[nodes])
+		}
+	})
+}
+
 // TestPollsReadAnUnchangedPolicyAgain guards against polls from a position that the history has lost.
 func TestPollsReadAnUnchangedPolicyAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
