--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -11,12 +11,12 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/http1/reset"
 )
 
 const (
@@ -32,7 +32,7 @@
 // conn is a connection to the backend server. It handles one request at a time.
 type conn struct {
 	pool        *Pool
-	nc          net.Conn
+	nc          *reset.Conn
 	in          *limitedReader // reads from nc
 	br          *bufio.Reader  // reads from in
 	bw          *bufio.Writer
@@ -50,8 +50,9 @@
 func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.ids[:], id) }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	in := &limitedReader{r: nc}
-	return &conn{pool: p, nc: nc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), bw: bufio.NewWriterSize(nc, writeBufferBytes), idleTimeout: maxIdleTimeout}
+	rc := reset.NewConn(nc)
+	in := &limitedReader{r: rc}
+	return &conn{pool: p, nc: rc, in: in, br: bufio.NewReaderSize(in, readBufferBytes), bw: bufio.NewWriterSize(rc, writeBufferBytes), idleTimeout: maxIdleTimeout}
 }
 
 // limitedReader reads from r, up to a limit if one is set.
@@ -83,11 +84,10 @@
 // isReusable reports whether the server has neither closed the idle connection nor
 // sent data on it. It makes a single read, which does not block.
 func (c *conn) isReusable() bool {
-	s, ok := c.nc.(syscall.Conn)
-	if !ok || c.br.Buffered() > 0 {
+	if c.br.Buffered() > 0 {
 		return false
 	}
-	raw, err := s.SyscallConn()
+	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -162,7 +162,9 @@
 			}
 		}
 		if err := writeBody(bw, r, chunked); err != nil {
-			c.nc.Close() // the server must not take a truncated body for a complete one
+			if !c.nc.HasWriteError() { // otherwise the server may have responded before the connection ended
+				c.nc.Close() // the server must not take a truncated body for a complete one
+			}
 			return err
 		}
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/http1/reset"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/table"
 )
@@ -19,11 +20,24 @@
 // announces none.
 const defaultConnections = 100
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialServer opens a connection to the backend server.
+func dialServer(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: serverDialTimeout}).DialContext(ctx, network, address)
+}
+
 // newServerTransport returns the HTTP client for requests to the backend server.
-func newServerTransport(connections int) *http.Transport {
-	d := &net.Dialer{Timeout: serverDialTimeout}
+func newServerTransport(connections int, dial dialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:           d.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			nc, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return reset.NewConn(nc), nil
+		},
 		MaxConnsPerHost:       connections,
 		MaxIdleConnsPerHost:   connections,
 		DisableCompression:    true,
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -66,7 +66,7 @@
 func newScheduler(n *Node) *scheduler {
 	return &scheduler{
 		n:            n,
-		client:       newServerTransport(defaultConnections),
+		client:       newServerTransport(defaultConnections, dialServer),
 		claims:       claim.NewWriter(n.cfg.Store, n.cfg.Clock, claim.Holder{Node: n.name, Incarnation: n.incarnation}, n.cfg.ClaimWritesPerSecond),
 		dedupCache:   newDedupCache(),
 		queue:        queue.New(1),
@@ -106,7 +106,7 @@
 	}
 	s.queue.SetSlots(slots)
 	if a.Connections != s.announced.Connections && a.Connections > 0 {
-		s.client = newServerTransport(a.Connections)
+		s.client = newServerTransport(a.Connections, dialServer)
 	}
 }
 
