--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -201,6 +201,9 @@
 			return nil, err
 		}
 		c.in.removeLimit()
+		if !isStatus(res.StatusCode) {
+			return nil, gd.Malformed.Errorf("response has the status %03d", res.StatusCode)
+		}
 		if res.StatusCode < http.StatusOK {
 			continue // informational response
 		}
@@ -223,6 +226,12 @@
 	return nil, gd.Malformed.Errorf("too many responses with ids of other requests")
 }
 
+// isStatus reports whether a response to a request of the pool may have the status. The pool asks
+// for no other protocol, so a server has none to switch to.
+func isStatus(status int) bool {
+	return status >= 100 && status < 600 && status != http.StatusSwitchingProtocols
+}
+
 // responseBody is the body of a response. Closing it releases the connection.
 type responseBody struct {
 	io.ReadCloser
--- a/internal/http1/pool/faulty_test.go
+++ b/internal/http1/pool/faulty_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	gd "github.com/geraniumdock/geraniumdock"
 )
 
 // TestResponseCutAtAnyByte has the server close the connection after each number of bytes of
@@ -164,3 +166,28 @@
 	is.Equal(repeat.Response.StatusCode, http.StatusOK)
 	is.Equal(body, "own")
 }
+
+// TestInvalidStatus guards against a status that no response has being passed on, or taken for
+// that of an informational response, after which the request waits for its deadline.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		for _, fields := range []string{"Content-Length: 0\r\n", "Connection: Upgrade\r\nUpgrade: x\r\n"} {
+			t.Run(status+" "+fields, func(t *testing.T) {
+				is := is.New(t)
+				closed := make(chan struct{})
+				p := newScriptedPool(t, func(_ int, conn net.Conn) bool {
+					defer close(closed)
+					fmt.Fprintf(conn, "HTTP/1.1 %s Trouble\r\nId: a\r\n%s\r\n", status, fields)
+					_, _ = conn.Read(make([]byte, 1)) // ends when the connection is closed
+					return false
+				})
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				r := p.Do(ctx, newGetRequest("a", false))
+				is.True(gd.Unknown.Is(r.Err)) // not a response, and not a deadline
+				is.True(r.Reached)
+				<-closed
+			})
+		}
+	}
+}
--- a/node/call.go
+++ b/node/call.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -203,12 +204,18 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// requestTrace records whether any of a request may have been sent.
-type requestTrace struct{ wrote atomic.Bool }
+// requestTrace records whether any of a request may have been sent, and on which connection.
+type requestTrace struct {
+	wrote atomic.Bool
+	conn  net.Conn // nil if there was none
+}
 
 // trace returns a context that traces the request sent with it.
 func (t *requestTrace) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { t.wrote.Store(true) }})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { t.conn = info.Conn },
+		WroteHeaders: func() { t.wrote.Store(true) },
+	})
 }
 
 // formatMilliseconds formats a duration as whole milliseconds, at least 1.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -67,12 +67,22 @@
 	if err != nil {
 		return nil, s.exchangeFailed(ctx, id, trace.wrote.Load())
 	}
+	if !isFinalStatus(res.StatusCode) {
+		s.n.log.Warn("backend server sent an invalid response", "status", res.StatusCode)
+		trace.conn.Close() // no other call may use the connection, as it could if the body is empty
+		res.Body.Close()
+		return nil, s.exchangeFailed(ctx, id, true)
+	}
 	stripHeaders(res.Header)
 	res.Header.Set(loadHeader, formatLoad(s.load()))
 	res.Body = &trackedBody{ReadCloser: res.Body, onFailure: func() { s.checkCrash(id) }, onClose: func(complete bool) { s.exchangeEnded(id, c.fingerprint, complete) }}
 	return res, nil
 }
 
+// isFinalStatus reports whether a response to a call may have the status. Calls ask for no other
+// protocol, so a server has none to switch to; the transport skips other informational responses.
+func isFinalStatus(status int) bool { return status >= 200 && status < 600 }
+
 // newServerRequest returns the request to the server for the call.
 func (s *scheduler) newServerRequest(ctx context.Context, c *call, row *table.Row, address string) *http.Request {
 	req := c.request.Clone(ctx)
