--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -24,6 +24,7 @@
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
 	"github.com/geraniumdock/geraniumdock/internal/http1/listener"
+	"github.com/geraniumdock/geraniumdock/limit"
 	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -63,6 +64,7 @@
 	Clock      gd.Clock
 	Log        hclog.Logger
 	Random     *rand.Rand
+	Quota      Quota               // of workspaces; nil if none is enforced
 	OnLeaving  func(server.Record) // called for a response that states that the server is about to stop
 	Observe    func(Outcome)       // called once for each request when its outcome is known
 }
@@ -118,9 +120,10 @@
 // Handle runs a request and returns the response for the caller.
 func (g *Ingress) Handle(ctx context.Context, r *listener.Request) *http.Response {
 	s := &requestState{g: g, r: r, id: platform.RequestID(r.Header), began: g.cfg.Clock.Monotonic(), snapshot: g.cfg.Snapshot()}
-	if err := s.plan(); err != nil {
-		return s.errorResponse(err, 0)
+	if err := s.plan(ctx); err != nil {
+		return s.errorResponse(err, s.quotaWait)
 	}
+	defer s.returnToken()
 	return s.run(ctx)
 }
 
@@ -143,6 +146,10 @@
 	isRepeat  bool                   // the caller has sent the request before
 	identity  quarantine.Fingerprint // see identify
 
+	token     limit.Token   // of the workspace's quota
+	hasToken  bool          // a token was spent
+	quotaWait time.Duration // until a token may be due, if there was none
+
 	search       placement.Search
 	reached      int      // servers that may have received the request
 	ran          bool     // a server may have run the request
@@ -150,8 +157,9 @@
 	giveUpReason string   // why the request was not retried; "" if no retry was ruled out
 }
 
-// plan sets the route, the service, the deadline and the objective of the request.
-func (s *requestState) plan() error {
+// plan sets the route, the service, the deadline and the objective of the request, and spends
+// a token if its workspace has a quota.
+func (s *requestState) plan(ctx context.Context) error {
 	p := s.snapshot.Policy
 	if p == nil {
 		return gd.NotReady.Errorf("no policy has been received yet")
@@ -177,6 +185,9 @@
 		return gd.Draining.Errorf("node %s stops in %s, before the deadline of the request", s.g.cfg.Node, stopTime-s.began)
 	}
 	s.identity = s.identify()
+	if err := s.spendToken(ctx); err != nil {
+		return err
+	}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	if s.firstSeen, s.isRepeat = s.g.refused.Take(s.began, s.identity); !s.isRepeat {
--- a/internal/proxy/peer/handler.go
+++ b/internal/proxy/peer/handler.go
@@ -41,15 +41,16 @@
 	http *http.Server
 }
 
-// NewServer returns a server that passes requests to station and messages to
-// ownRoster, on a VM whose link has the given bandwidth in Mbit/s.
-func NewServer(station Station, ownRoster Roster, mbps float64, clk gd.Clock, log hclog.Logger) *Server {
+// NewServer returns a server that passes requests to station, messages to ownRoster and
+// requests for tokens to issuer, on a VM whose link has the given bandwidth in Mbit/s.
+func NewServer(station Station, ownRoster Roster, issuer Issuer, mbps float64, clk gd.Clock, log hclog.Logger) *Server {
 	var delays delayEstimator
 	mux := http.NewServeMux()
 	mux.HandleFunc(requestPath, func(w http.ResponseWriter, r *http.Request) {
 		serveRequest(station, &delays, clk.Monotonic(), w, r)
 	})
 	mux.HandleFunc(exchangePath, func(w http.ResponseWriter, r *http.Request) { serveExchange(ownRoster, w, r) })
+	mux.HandleFunc(tokensPath, func(w http.ResponseWriter, r *http.Request) { serveTokens(issuer, w, r) })
 	return &Server{http: &http.Server{
 		Handler:   mux,
 		Protocols: cleartextProtocols(),
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -24,9 +24,11 @@
 	"github.com/geraniumdock/geraniumdock/internal/http1/listener"
 	"github.com/geraniumdock/geraniumdock/internal/proxy/ingress"
 	"github.com/geraniumdock/geraniumdock/internal/proxy/peer"
+	"github.com/geraniumdock/geraniumdock/internal/proxy/quota"
 	"github.com/geraniumdock/geraniumdock/internal/proxy/station"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/meter"
+	"github.com/geraniumdock/geraniumdock/limit"
 	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -67,6 +69,7 @@
 	roster       *roster.Roster
 	station      *station.Station
 	ingress      *ingress.Ingress
+	quota        *quota.Limiter
 	peerClient   *peer.Client
 	peerServer   *peer.Server
 	clientServer *listener.Server
@@ -120,10 +123,15 @@
 			cfg.Meter.CountServerRequest(o.Status, meter.ServerTiming{TransitDelay: o.TransitDelay, SlotWait: o.SlotWait, SlotTime: o.SlotTime})
 		},
 	})
+	s.quota = quota.New(quota.Config{
+		Node: st.Node, Snapshot: s.roster.Snapshot, Peers: s.peerClient, Terms: limit.NewTerms(st.Bounds.QuotaLimits()),
+		Clock: cfg.Clock, Log: cfg.Log, Counter: cfg.Meter,
+	})
 	s.ingress = ingress.New(ingress.Config{
 		Node: st.Node, DataCentre: st.DataCentre, Service: st.Server.Service,
 		Snapshot: s.roster.Snapshot, Peers: s.peerClient, Station: s.station,
 		Verdict:   s.verdict,
+		Quota:     s.quota,
 		Limits:    retryBudget(st.Bounds),
 		Clock:     cfg.Clock,
 		Log:       cfg.Log,
@@ -137,7 +145,7 @@
 		},
 	})
 	s.clientServer = listener.New(s.ingress, connectionLogger{cfg.Log}, s.limits, spoolBytes)
-	s.peerServer = peer.NewServer(s.station, s.roster, st.LinkMbps, cfg.Clock, cfg.Log)
+	s.peerServer = peer.NewServer(s.station, s.roster, s.quota, st.LinkMbps, cfg.Clock, cfg.Log)
 	s.registerGauges()
 	return s, nil
 }
@@ -287,6 +295,7 @@
 	}})
 	root.Add(service{"roster", s.roster.Run})
 	root.Add(service{"station", s.station.Run})
+	root.Add(service{"quota", s.quota.Run})
 	root.Add(s.listenerService("peers", s.peerServer.Serve))
 	root.Add(s.listenerService("clients", s.clientServer.Serve))
 	for name, handler := range map[string]http.Handler{
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -53,4 +53,5 @@
 	RequestRefused    = "request-refused" // by the node beside the backend server
 	RequestServed     = "request-served"  // by the backend server
 	ConnectionRefused = "connection-refused"
+	QuotaRefused      = "quota-refused" // requests of a workspace that got no token of its quota
 )
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -77,6 +77,21 @@
 	m.set.GetOrCreateCounter(`geraniumdock_failures_total{kind="` + k.String() + `"}`).Inc()
 }
 
+// CountQuotaDecision counts a request of a workspace with a quota.
+func (m *Meter) CountQuotaDecision(decision string) {
+	m.set.GetOrCreateCounter(`geraniumdock_quota_requests_total{decision="` + decision + `"}`).Inc()
+}
+
+// CountQuotaMessage counts a message to a node that issues tokens of a quota.
+func (m *Meter) CountQuotaMessage(outcome string) {
+	m.set.GetOrCreateCounter(`geraniumdock_quota_messages_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// CountTokensIssued counts tokens that the node has issued.
+func (m *Meter) CountTokensIssued(n int) {
+	m.set.GetOrCreateCounter("geraniumdock_quota_tokens_issued_total").Add(n)
+}
+
 // CountServerRequest counts a request that reached the backend server beside the node.
 func (m *Meter) CountServerRequest(status int, timing ServerTiming) {
 	m.transitDelay.Update(timing.TransitDelay.Seconds())
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -60,6 +60,9 @@
 	RepeatRatio         *float64 `yaml:"repeat-ratio"`          // retries per request in a window, over all nodes
 	RepeatWindowSeconds *float64 `yaml:"repeat-window-seconds"` // length of the window
 	RepeatSlack         *float64 `yaml:"repeat-slack"`          // retries allowed in a window in addition to the ratio
+	QuotaWindowSeconds  *float64 `yaml:"quota-window-seconds"`  // length of the window in which a quota is binding
+	QuotaOverageRatio   *float64 `yaml:"quota-overage-ratio"`   // requests allowed in a window in addition to the quota, relative to it
+	QuotaSlack          *float64 `yaml:"quota-slack"`           // requests allowed in a window in addition to those
 }
 
 // Defaults for the limits that the platform omits.
@@ -70,6 +73,9 @@
 	defaultRepeatWindow     = 10 * time.Second
 	defaultRepeatSlack      = 10
 	defaultAnnounceInterval = 1500 * time.Millisecond
+	defaultQuotaWindow      = 5 * time.Second
+	defaultQuotaOverage     = 0.1
+	defaultQuotaSlack       = 20
 )
 
 // DrainPeriod returns the time from the notice that a server leaves to the last request
@@ -85,6 +91,12 @@
 	return secondsOr(b.RepeatWindowSeconds, defaultRepeatWindow), numberOr(b.RepeatRatio, defaultRepeatRatio), numberOr(b.RepeatSlack, defaultRepeatSlack)
 }
 
+// QuotaLimits returns the bound on the requests of a workspace with a quota: in each window
+// those of the quota, times 1 + overage, plus slack.
+func (b SidecarBounds) QuotaLimits() (window time.Duration, overage, slack float64) {
+	return secondsOr(b.QuotaWindowSeconds, defaultQuotaWindow), numberOr(b.QuotaOverageRatio, defaultQuotaOverage), numberOr(b.QuotaSlack, defaultQuotaSlack)
+}
+
 func secondsOr(s *float64, fallback time.Duration) time.Duration {
 	if s == nil {
 		return fallback
@@ -112,6 +124,9 @@
 		{"repeat-window-seconds", b.RepeatWindowSeconds, minBoundSeconds},
 		{"repeat-ratio", b.RepeatRatio, 0},
 		{"repeat-slack", b.RepeatSlack, 0},
+		{"quota-window-seconds", b.QuotaWindowSeconds, minBoundSeconds},
+		{"quota-overage-ratio", b.QuotaOverageRatio, 0},
+		{"quota-slack", b.QuotaSlack, 0},
 	} {
 		if n.value != nil && (*n.value < n.minimum || *n.value > maxBound) {
 			return "bounds." + n.key, fmt.Sprintf("%g is not between %g and %g", *n.value, n.minimum, float64(maxBound))
--- a/settings/sidecar_test.go
+++ b/settings/sidecar_test.go
@@ -35,6 +35,9 @@
   repeat-ratio: 0.2
   repeat-window-seconds: 10
   repeat-slack: 64
+  quota-window-seconds: 4
+  quota-overage-ratio:
+  quota-slack: 30
 memory-mb: 284
 `
 
@@ -48,6 +51,10 @@
 	is.Equal(window, 10*time.Second)
 	is.Equal(ratio, 0.2)
 	is.Equal(slack, 64.0)
+	window, ratio, slack = s.Bounds.QuotaLimits()
+	is.Equal(window, 4*time.Second)
+	is.Equal(ratio, defaultQuotaOverage) // omitted by the platform
+	is.Equal(slack, 30.0)
 	is.Equal(s.Store.History, 20*time.Second)
 	is.True(s.Log.JSON)
 }
@@ -59,7 +66,8 @@
 		`clients: "10.1.0.35:8141"`:   {`clients: "10.1.0.35"`, "local.yaml:10 key listen.clients"},
 		`service: "shop"`:             {`service: ""`, "local.yaml:7 key server.service"},
 		`drain-seconds: 2.5`:          {`drain-seconds: 0`, "local.yaml:21 key bounds.drain-seconds"},
-		`memory-mb: 284`:              {`memory-mb: -1`, "local.yaml:26 key memory-mb"},
+		`quota-slack: 30`:             {`quota-slack: -1`, "local.yaml:28 key bounds.quota-slack"},
+		`memory-mb: 284`:              {`memory-mb: -1`, "local.yaml:29 key memory-mb"},
 		`history-seconds: 20`:         {`history-seconds: -20`, "local.yaml:19 key store.history-seconds"},
 		`writes-per-second: 400`:      {`writes-per-second: many`, "17"},
 		`memory-mb`:                   {`memory-gb`, "memory-gb"},
