--- a/internal/proxy/quota/limiter.go
+++ b/internal/proxy/quota/limiter.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	gd "github.com/geraniumdock/geraniumdock"
@@ -21,10 +22,10 @@
 
 const (
 	refreshInterval = 500 * time.Millisecond
-	// isolationTimeout is the time without a response of any other node after which a node
-	// stops to issue. It is shorter than the time after which others drop the node from the
-	// directory (a minute) and another node issues in its place.
-	isolationTimeout = 30 * time.Second
+	// isolationTimeout is the time without a message of any other node after which a node
+	// stops to issue. The others may change the directory meanwhile, so that another node issues
+	// in its place. Gossip brings about four messages in a second.
+	isolationTimeout = 3 * time.Second
 	// logInterval is the least time between two log lines about one workspace.
 	logInterval = 5 * time.Second
 )
@@ -63,14 +64,14 @@
 type Limiter struct {
 	cfg   Config
 	table atomic.Pointer[table]
+	// heardAt is the monotonic time at which a message of another node arrived last.
+	heardAt atomic.Int64
 
 	mu            sync.Mutex // guards the fields below
 	issuer        limit.Issuer
 	contacts      limit.Contacts
 	workspaces    map[string]*workspace
-	aloneSince    time.Duration // since when no other node responds, if isAlone
-	isAlone       bool
-	isolated      bool // isAlone for isolationTimeout; the node issues nothing
+	isolated      bool // see isIsolated; the node issues nothing
 	tasks         sync.WaitGroup
 	tableSwitches uint64 // number of tables, by which workspaces notice a new one
 }
@@ -89,7 +90,9 @@
 
 // New returns a Limiter with the given configuration.
 func New(cfg Config) *Limiter {
-	return &Limiter{cfg: cfg, workspaces: map[string]*workspace{}}
+	l := &Limiter{cfg: cfg, issuer: limit.Issuer{FirstTokens: cfg.Terms.FirstTokens}, workspaces: map[string]*workspace{}}
+	l.MarkHeard()
+	return l
 }
 
 // Run keeps the buckets of the workspaces that this node issues for, until ctx ends.
@@ -118,7 +121,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Monotonic()
-	l.checkIsolation(now, s)
+	l.isolated = l.isIsolated(now, s.Directory.Len())
 	l.issuer.Retain(now, func(name string) bool {
 		e, ok := t.entries[name]
 		return ok && e.isOwn && !l.isolated
@@ -129,17 +132,19 @@
 	for _, name := range t.own {
 		e := t.entries[name]
 		l.issuer.Issue(now, name, e.part.Rate, e.part.Burst, 0)
+		if e.next != "" && s.IsSilent(e.next) {
+			l.issuer.Defer(now, name)
+		}
 	}
 }
 
-// checkIsolation determines whether this node has been alone for isolationTimeout.
-func (l *Limiter) checkIsolation(now time.Duration, s *roster.Snapshot) {
-	isAlone := s.Directory.Len() > 1 && s.Responding() <= 1
-	if isAlone && !l.isAlone {
-		l.aloneSince = now
-	}
-	l.isAlone = isAlone
-	l.isolated = isAlone && now-l.aloneSince >= isolationTimeout
+// MarkHeard records that a message of another node has arrived.
+func (l *Limiter) MarkHeard() { l.heardAt.Store(int64(l.cfg.Clock.Monotonic())) }
+
+// isIsolated reports whether no other node has been heard for isolationTimeout. The few
+// nodes of a small fleet may all have failed but this one, which then goes on.
+func (l *Limiter) isIsolated(now time.Duration, nodes int) bool {
+	return nodes > limit.MaxIssuers && now-time.Duration(l.heardAt.Load()) >= isolationTimeout
 }
 
 // tableFor returns the table for the snapshot.
@@ -152,7 +157,7 @@
 	if t := l.table.Load(); t.isFor(s) {
 		return t
 	}
-	t := newTable(s, l.cfg.Node, l.cfg.Terms.Extra)
+	t := newTable(s, l.cfg.Node, l.cfg.Terms)
 	l.tableSwitches++
 	for name := range l.workspaces {
 		if _, ok := t.entries[name]; !ok {
@@ -203,7 +208,7 @@
 	}
 	if s.seen != l.tableSwitches {
 		s.seen = l.tableSwitches
-		s.allowance.SetIssuers(e.nodes, e.start(l.cfg.Node))
+		s.allowance.SetIssuers(e.nodes, l.cfg.Node, int(xxhash.Sum64String(l.cfg.Node)>>1))
 	}
 	return s
 }
--- a/internal/proxy/quota/table.go
+++ b/internal/proxy/quota/table.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
 	"github.com/geraniumdock/geraniumdock/limit"
@@ -25,7 +23,8 @@
 	part      limit.Quota // of each issuer
 	nodes     []string
 	addresses []string
-	isOwn     bool // this node is one of the issuers
+	isOwn     bool   // this node is one of the issuers
+	next      string // the node that would be the next issuer, "" if there is none; it was one before a node joined
 }
 
 // isFor reports whether t was computed from the policy and directory of the snapshot.
@@ -36,7 +35,7 @@
 // newTable returns the table for a snapshot. A node whose record states that its server has
 // left issues nothing, since nodes that end leave such a record behind. Nodes that do not
 // respond stay issuers, so that a partition does not move them.
-func newTable(s *roster.Snapshot, own string, extra float64) *table {
+func newTable(s *roster.Snapshot, own string, terms limit.Terms) *table {
 	t := &table{policy: s.Policy, generation: s.Directory.Generation()}
 	if s.Policy == nil || !s.Policy.HasWorkspaces() {
 		return t
@@ -53,7 +52,7 @@
 		if t.entries == nil {
 			t.entries = map[string]*entry{}
 		}
-		e := newEntry(w, records, names, own, extra)
+		e := newEntry(w, records, names, own, terms)
 		t.entries[w.Name] = e
 		if e.isOwn {
 			t.own = append(t.own, w.Name)
@@ -62,23 +61,18 @@
 	return t
 }
 
-func newEntry(w *route.Workspace, records []server.Record, names []string, own string, extra float64) *entry {
+func newEntry(w *route.Workspace, records []server.Record, names []string, own string, terms limit.Terms) *entry {
 	e := &entry{quota: limit.Quota{Rate: w.Rate, Burst: w.Burst}}
-	count := e.quota.IssuerCount(extra, len(records))
-	e.part = e.quota.Part(extra, count)
-	for _, i := range limit.FirstNodes(w.Name, names, count) {
+	count, part := terms.Issuers(e.quota, len(records))
+	e.part = part
+	first := limit.FirstNodes(w.Name, names, count+1)
+	if len(first) > count {
+		e.next, first = records[first[count]].Node, first[:count]
+	}
+	for _, i := range first {
 		e.nodes = append(e.nodes, records[i].Node)
 		e.addresses = append(e.addresses, records[i].Address)
 		e.isOwn = e.isOwn || records[i].Node == own
 	}
 	return e
 }
-
-// start returns the index of the issuer that the node asks first: itself if it is one, or
-// else one that differs between nodes.
-func (e *entry) start(own string) int {
-	if i := slices.Index(e.nodes, own); i >= 0 {
-		return i
-	}
-	return int(xxhash.Sum64String(own) >> 1)
-}
--- a/limit/allowance.go
+++ b/limit/allowance.go
@@ -12,22 +12,34 @@
 	AskTimeout = 50 * time.Millisecond
 	// prefetchTime is the time for whose measured demand a node asks in addition to the
 	// requests that wait. Tokens that are not spent expire, so it is a fraction of Terms.Hold.
-	prefetchTime       = 100 * time.Millisecond
+	prefetchTime = 30 * time.Millisecond
+	// overPrefetchTime is the same while the key is over its quota. The tokens are spent at
+	// once then, and fewer messages are sent.
+	overPrefetchTime   = 150 * time.Millisecond
+	overPeriod         = time.Second // how long a key counts as over its quota after a refusal
 	allowanceHalfLife  = time.Second // of the measured demand of an Allowance
 	firstContactPause  = 100 * time.Millisecond
 	maxContactPause    = 3200 * time.Millisecond
 	maxTermsTime       = 500 * time.Millisecond
 	minTermsTime       = 100 * time.Millisecond
 	maxQueryShare      = 0.4 // part of the time of the terms that a request may wait for tokens
-	extraBurstPerSlack = 0.5 // the rest of the slack is the margin for directories that differ
+	slackPerFirstToken = 20  // of the slack, a tenth of the margin is used for each new bucket
+	// marginShare is the part of the overage on the burst and of the slack that is left as
+	// the margin for nodes whose directories differ and for the first tokens of buckets.
+	marginShare = 0.5
 )
 
 // Terms are the times and the burst by which tokens issued at different nodes together
-// stay within the bound on a window: rate x (window + Hold + Query) + burst + Extra.
+// stay within the bound on a window: a window has no more runs than
+// rate x (window + Hold + Query) + burst x (1 + BurstRatio) + Extra.
 type Terms struct {
-	Hold  time.Duration // from the request for a token to its expiry
-	Query time.Duration // the longest that a request waits for a token
-	Extra float64       // burst of all issuers in addition to that of the quota
+	Hold       time.Duration // from the request for a token to its expiry
+	Query      time.Duration // the longest that a request waits for a token
+	BurstRatio float64       // burst of all issuers in addition to that of the quota, relative to it
+	Extra      float64       // the same, in requests
+	// FirstTokens is the content of a new bucket, at most one token. Without it a quota of a
+	// few requests per second would admit none for seconds.
+	FirstTokens float64
 }
 
 // NewTerms returns the terms for a bound of (rate x window + burst) x (1 + overage) +
@@ -35,7 +47,20 @@
 func NewTerms(window time.Duration, overage, slack float64) Terms {
 	d := min(max(time.Duration(overage*float64(window)), minTermsTime), maxTermsTime)
 	query := time.Duration(maxQueryShare * float64(d))
-	return Terms{Hold: d - query, Query: query, Extra: extraBurstPerSlack * slack}
+	return Terms{Hold: d - query, Query: query, BurstRatio: (1 - marginShare) * overage, Extra: (1 - marginShare) * slack,
+		FirstTokens: min(1, slack/slackPerFirstToken)}
+}
+
+// burst returns the burst of all issuers of q.
+func (t Terms) burst(q Quota) float64 { return q.Burst*(1+t.BurstRatio) + t.Extra }
+
+// Issuers returns the number of issuers of q among n nodes, and the part of q that each
+// of them issues. There are fewer than MaxIssuers if there are fewer nodes, or if the
+// burst of a part would be less than the one token without which it admits no request.
+func (t Terms) Issuers(q Quota, n int) (count int, part Quota) {
+	burst := t.burst(q)
+	count = max(1, min(MaxIssuers, n, int(burst)))
+	return count, Quota{Rate: q.Rate / float64(count), Burst: max(1, burst/float64(count))}
 }
 
 // Token allows one request to run.
@@ -48,8 +73,10 @@
 	batches    []batch // by expiry
 	demand     float64 // requests per second
 	measuredAt time.Duration
+	overUntil  time.Duration // until when the key counts as over its quota
 	sources    []source
-	first      int // of sources, which is asked first
+	own        int // index of the node itself in sources, -1 if it is not an issuer
+	first      int // index in sources of the issuer that is asked first
 }
 
 type batch struct {
@@ -63,9 +90,9 @@
 	emptyUntil time.Duration // no token is due before
 }
 
-// SetIssuers sets the nodes that issue the tokens. The start is the index of the issuer
-// to ask first. It should be that of the node itself, or differ between nodes.
-func (a *Allowance) SetIssuers(nodes []string, start int) {
+// SetIssuers sets the nodes that issue the tokens, and the name of the node itself. The
+// start says which issuer is asked first, modulo their number. It should differ between nodes.
+func (a *Allowance) SetIssuers(nodes []string, own string, start int) {
 	sources := make([]source, len(nodes))
 	for i, node := range nodes {
 		sources[i].node = node
@@ -73,10 +100,7 @@
 			sources[i] = a.sources[j]
 		}
 	}
-	a.sources = sources
-	if len(nodes) > 0 {
-		a.first = start % len(nodes)
-	}
+	a.sources, a.own, a.first = sources, slices.Index(nodes, own), start
 }
 
 // Arrive counts a request in the measured demand.
@@ -93,7 +117,11 @@
 // Want returns the number of tokens to ask for while the given number of requests wait.
 func (a *Allowance) Want(now time.Duration, waiting int) int {
 	a.decay(now)
-	return max(1, waiting) + int(a.demand*prefetchTime.Seconds())
+	ahead := prefetchTime
+	if now < a.overUntil {
+		ahead = overPrefetchTime
+	}
+	return max(1, waiting) + int(a.demand*ahead.Seconds())
 }
 
 // Take spends the token that expires first.
@@ -128,23 +156,32 @@
 	a.batches = slices.Insert(a.batches, i, batch{count, expires})
 }
 
-// Next returns the issuer to ask: the one that granted tokens last, or the next one that
-// may have a token and responds. It returns false if there is none.
+// Next returns the issuer to ask, of those that respond and may have a token: the node
+// itself, which costs no message, or the others in turn, so that no bucket overflows while
+// another is empty. It returns false if there is none.
 func (a *Allowance) Next(now time.Duration, c *Contacts) (node string, ok bool) {
+	if a.own >= 0 && len(a.sources) > 0 && a.mayHaveTokens(now, a.own, c) {
+		return a.sources[a.own].node, true
+	}
 	for i := range a.sources {
-		s := &a.sources[(a.first+i)%len(a.sources)]
-		if s.emptyUntil <= now && c.pausedUntil(s.node) <= now {
-			return s.node, true
+		if j := (a.first + i) % len(a.sources); a.mayHaveTokens(now, j, c) {
+			a.first = (j + 1) % len(a.sources)
+			return a.sources[j].node, true
 		}
 	}
 	return "", false
 }
 
+func (a *Allowance) mayHaveTokens(now time.Duration, i int, c *Contacts) bool {
+	s := a.sources[i]
+	return s.emptyUntil <= now && c.pausedUntil(s.node) <= now
+}
+
 // Granted records the reply of an issuer that granted tokens.
 func (a *Allowance) Granted(now time.Duration, node string, count int, expires time.Duration) {
 	a.Add(now, count, expires)
 	if i := a.indexOf(node); i >= 0 {
-		a.first, a.sources[i].emptyUntil = i, 0
+		a.sources[i].emptyUntil = 0
 	}
 }
 
@@ -169,6 +206,7 @@
 		}
 	}
 	if isOver {
+		a.overUntil = now + overPeriod
 		return empty - now, true
 	}
 	return paused - now, false
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -18,7 +18,7 @@
 	handoverDelay = time.Second
 	// maxRetainInterval is the time without a call of Retain after which the buckets are
 	// emptied. The process was paused, and other nodes may have taken its place.
-	maxRetainInterval = 5 * time.Second
+	maxRetainInterval = 2 * time.Second
 	// maxWait bounds the wait that an asker is told, since tokens may come back earlier
 	// than promised: another asker may stop asking.
 	maxWait = 500 * time.Millisecond
@@ -43,23 +43,11 @@
 	Burst float64 // requests that may come at once in addition
 }
 
-// Part returns the part of q that each of n issuers issues. The bursts of all parts add
-// up to that of q and extra. A burst below one token would never admit a request.
-func (q Quota) Part(extra float64, n int) Quota {
-	return Quota{Rate: q.Rate / float64(n), Burst: max(1, (q.Burst+extra)/float64(n))}
-}
-
-// IssuerCount returns the number of issuers for q among n nodes: MaxIssuers, or fewer if
-// there are fewer nodes or the burst of a part would be less than one token.
-func (q Quota) IssuerCount(extra float64, n int) int {
-	return max(1, min(MaxIssuers, n, int(q.Burst+extra)))
-}
-
-// FirstNodes returns the indices of the first count nodes by rendezvous hash of key and
-// node. Every node that knows the same names gets the same result.
+// FirstNodes returns the indices of the first count nodes, at most MaxIssuers+1, by
+// rendezvous hash of key and node. Every node that knows the same names gets the same result.
 func FirstNodes(key string, nodes []string, count int) []int {
-	var scores [MaxIssuers]uint64
-	first := make([]int, 0, MaxIssuers)
+	var scores [MaxIssuers + 1]uint64
+	first := make([]int, 0, len(scores))
 	keyHash := xxhash.Sum64String(key)
 	for i, node := range nodes {
 		score := rendezvous(keyHash, node)
@@ -88,10 +76,12 @@
 }
 
 // Issuer holds the token buckets of the keys that one node issues for. A bucket is empty
-// when the node begins to issue, so that tokens are not issued twice if the process was
-// restarted or another node issued before. The zero value is ready to use. An Issuer is
-// not safe for concurrent use. Times are readings of the monotonic clock.
+// when the node begins to issue, but for FirstTokens, so that tokens are not issued twice if
+// the process was restarted or another node issued before. The zero value is ready to use. An
+// Issuer is not safe for concurrent use. Times are readings of the monotonic clock.
 type Issuer struct {
+	FirstTokens float64 // in a new bucket, see Terms
+
 	buckets    map[string]*issuerBucket
 	retainedAt time.Duration
 }
@@ -99,7 +89,7 @@
 type issuerBucket struct {
 	part     Quota
 	tokens   float64
-	filledAt time.Duration // in the future until the hand-over has ended
+	filledAt time.Duration // in the future until the hand-over has ended, when tokens begin to be issued
 	promised time.Duration // until when the tokens are promised to earlier askers
 }
 
@@ -113,7 +103,7 @@
 		if s.buckets == nil {
 			s.buckets = map[string]*issuerBucket{}
 		}
-		b = &issuerBucket{filledAt: now + handoverDelay}
+		b = &issuerBucket{tokens: s.FirstTokens, filledAt: now + handoverDelay}
 		s.buckets[key] = b
 	}
 	b.fill(now)
@@ -122,13 +112,22 @@
 	if want <= 0 {
 		return 0, 0
 	}
-	if granted = min(want, int(b.tokens+1-wholeToken)); granted > 0 {
+	if granted = min(want, int(b.tokens+1-wholeToken)); granted > 0 && b.filledAt <= now {
 		b.tokens = max(0, b.tokens-float64(granted))
 		return granted, 0
 	}
 	return 0, b.promise(now, want)
 }
 
+// Defer postpones the start of the bucket of key by handoverDelay, unless it has started. It
+// is called while the node that a new issuer replaces does not respond: that node may not know
+// that it is no longer an issuer.
+func (s *Issuer) Defer(now time.Duration, key string) {
+	if b, ok := s.buckets[key]; ok && b.filledAt > now {
+		b.filledAt = now + handoverDelay
+	}
+}
+
 // Retain drops the buckets of the keys for which keep returns false. It is called
 // regularly, while the node knows that it issues.
 func (s *Issuer) Retain(now time.Duration, keep func(key string) bool) {
