--- a/internal/proxy/quota/limiter.go
+++ b/internal/proxy/quota/limiter.go
@@ -26,6 +26,9 @@
 	// stops to issue. The others may change the directory meanwhile, so that another node issues
 	// in its place. Gossip brings about four messages in a second.
 	isolationTimeout = 3 * time.Second
+	// spreadTime is the time within which all nodes get a version of the policy. Until then the
+	// issuers of a new quota may not know it.
+	spreadTime = 2500 * time.Millisecond
 	// logInterval is the least time between two log lines about one workspace.
 	logInterval = 5 * time.Second
 )
@@ -131,7 +134,7 @@
 	}
 	for _, name := range t.own {
 		e := t.entries[name]
-		l.issuer.Issue(now, name, e.part.Rate, e.part.Burst, 0)
+		l.issue(now, name, e, 0)
 		if e.next != "" && s.IsSilent(e.next) {
 			l.issuer.Defer(now, name)
 		}
@@ -158,6 +161,7 @@
 		return t
 	}
 	t := newTable(s, l.cfg.Node, l.cfg.Terms)
+	t.introduce(l.cfg.Clock.Monotonic(), l.table.Load())
 	l.tableSwitches++
 	for name := range l.workspaces {
 		if _, ok := t.entries[name]; !ok {
@@ -318,9 +322,14 @@
 	}
 }
 
-// refuse returns the error for a request without a token.
+// refuse returns the error for a request without a token. A request of a workspace whose quota
+// is new is admitted if no issuer knows the quota yet.
 func (l *Limiter) refuse(now time.Duration, s *workspace, w *route.Workspace, e *entry) (limit.Token, time.Duration, error) {
 	wait, isOver := s.allowance.Wait(now, &l.contacts)
+	if !isOver && e.isNew(now) {
+		l.cfg.Counter.CountQuotaDecision(decisionAdmitted)
+		return limit.Token{}, 0, nil
+	}
 	decision, err := decisionNoIssuer, gd.NotReady.Errorf("no node that issues the quota of workspace %s responds", w.Name)
 	if isOver {
 		decision = decisionOver
@@ -367,6 +376,9 @@
 	if l.isolated {
 		return limit.TokenReply{Unknown: true}
 	}
+	if e.isNew(now) {
+		l.issuer.Introduce(now, name, e.part.Rate, e.part.Burst)
+	}
 	granted, wait := l.issuer.Issue(now, name, e.part.Rate, e.part.Burst, want)
 	l.cfg.Counter.CountTokensIssued(granted)
 	return limit.TokenReply{Granted: granted, Wait: wait}
--- a/internal/proxy/quota/table.go
+++ b/internal/proxy/quota/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
@@ -23,8 +24,11 @@
 	part      limit.Quota // of each issuer
 	nodes     []string
 	addresses []string
-	isOwn     bool   // this node is one of the issuers
-	next      string // the node that would be the next issuer, "" if there is none; it was one before a node joined
+	isOwn     bool // this node is one of the issuers
+	// introducedAt is the monotonic time at which a version of the policy gave the workspace the
+	// quota, if it had none in the version before.
+	introducedAt time.Duration
+	next         string // the node that would be the next issuer, "" if there is none; it was one before a node joined
 }
 
 // isFor reports whether t was computed from the policy and directory of the snapshot.
@@ -61,6 +65,25 @@
 	return t
 }
 
+// introduce sets for each entry when its quota was introduced, given the table before.
+func (t *table) introduce(now time.Duration, before *table) {
+	if before == nil || before.policy == nil {
+		return // the process may have been restarted
+	}
+	for name, e := range t.entries {
+		if old, ok := before.entries[name]; ok {
+			e.introducedAt = old.introducedAt
+		} else {
+			e.introducedAt = now
+		}
+	}
+}
+
+// isNew reports whether the quota was introduced less than spreadTime ago.
+func (e *entry) isNew(now time.Duration) bool {
+	return e.introducedAt > 0 && now-e.introducedAt < spreadTime
+}
+
 func newEntry(w *route.Workspace, records []server.Record, names []string, own string, terms limit.Terms) *entry {
 	e := &entry{quota: limit.Quota{Rate: w.Rate, Burst: w.Burst}}
 	count, part := terms.Issuers(e.quota, len(records))
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -19,8 +19,8 @@
 	// maxRetainInterval is the time without a call of Retain after which the buckets are
 	// emptied. The process was paused, and other nodes may have taken its place.
 	maxRetainInterval = 2 * time.Second
-	// maxWait bounds the wait that an asker is told, since tokens may come back earlier
-	// than promised: another asker may stop asking.
+	// maxWait bounds the wait for the tokens promised to earlier askers, since some of them may
+	// not come back.
 	maxWait = 500 * time.Millisecond
 )
 
@@ -119,6 +119,16 @@
 	return 0, b.promise(now, want)
 }
 
+// Introduce creates a full bucket of key, if there is none. It is called for a quota that
+// the key did not have before, so that no tokens were issued.
+func (s *Issuer) Introduce(now time.Duration, key string, rate, burst float64) {
+	if _, ok := s.buckets[key]; ok {
+		return
+	}
+	s.Issue(now, key, rate, burst, 0)
+	s.buckets[key].tokens, s.buckets[key].filledAt = burst, now
+}
+
 // Defer postpones the start of the bucket of key by handoverDelay, unless it has started. It
 // is called while the node that a new issuer replaces does not respond: that node may not know
 // that it is no longer an issuer.
@@ -162,7 +172,7 @@
 // those that were promised to earlier askers.
 func (b *issuerBucket) promise(now time.Duration, want int) time.Duration {
 	due := max(now, b.filledAt) + tokenTime(1-b.tokens, b.part.Rate)
-	due = min(max(due, b.promised), now+maxWait)
+	due = max(due, min(b.promised, now+maxWait))
 	b.promised = due + tokenTime(float64(want), b.part.Rate)
 	return max(due-now, time.Millisecond)
 }
