--- a/internal/proxy/quota/limiter.go
+++ b/internal/proxy/quota/limiter.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,7 @@
 type workspace struct {
 	allowance limit.Allowance
 	seen      uint64        // Limiter.tableSwitches when the issuers were set
+	entry     *entry        // of the issuers that were set
 	asking    bool          // a request for tokens is outstanding
 	waiting   int           // requests that wait for its reply
 	changed   chan struct{} // closed when the reply has arrived or is overdue
@@ -116,11 +118,11 @@
 // refresh creates the buckets of the workspaces that this node issues for, before it is asked,
 // and drops the others.
 func (l *Limiter) refresh() {
-	s := l.cfg.Snapshot()
-	t := l.tableFor(s)
+	t := l.current()
 	if t.entries == nil {
 		return
 	}
+	s := l.cfg.Snapshot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Monotonic()
@@ -150,13 +152,14 @@
 	return nodes > limit.MaxIssuers && now-time.Duration(l.heardAt.Load()) >= isolationTimeout
 }
 
-// tableFor returns the table for the snapshot.
-func (l *Limiter) tableFor(s *roster.Snapshot) *table {
-	if t := l.table.Load(); t.isFor(s) {
+// current returns the table for the current snapshot.
+func (l *Limiter) current() *table {
+	if t := l.table.Load(); t.isFor(l.cfg.Snapshot()) {
 		return t
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s := l.cfg.Snapshot() // under the lock, so that no older table replaces a newer one
 	if t := l.table.Load(); t.isFor(s) {
 		return t
 	}
@@ -178,7 +181,7 @@
 // token it returns an error of kind RateLimited or, if no issuer responds, NotReady, and
 // the time until a token may be due.
 func (l *Limiter) Spend(ctx context.Context, w *route.Workspace, deadline time.Duration) (limit.Token, time.Duration, error) {
-	e, ok := l.tableFor(l.cfg.Snapshot()).entries[w.Name]
+	e, ok := l.current().entries[w.Name]
 	if !ok {
 		return limit.Token{}, 0, nil // the policy now in force has no quota for it
 	}
@@ -193,8 +196,8 @@
 			l.cfg.Counter.CountQuotaDecision(decisionAdmitted)
 			return token, 0, nil
 		}
-		if now >= end || ctx.Err() != nil || !s.asking && !l.ask(now, s, w.Name, e) {
-			return l.refuse(now, s, w, e)
+		if now >= end || ctx.Err() != nil || !s.asking && !l.ask(now, s, w.Name) {
+			return l.refuse(now, s, w)
 		}
 		if s.asking {
 			l.await(ctx, s, end-now)
@@ -211,7 +214,7 @@
 		l.workspaces[name] = s
 	}
 	if s.seen != l.tableSwitches {
-		s.seen = l.tableSwitches
+		s.seen, s.entry = l.tableSwitches, e
 		s.allowance.SetIssuers(e.nodes, l.cfg.Node, int(xxhash.Sum64String(l.cfg.Node)>>1))
 	}
 	return s
@@ -236,24 +239,20 @@
 
 // ask asks the next issuer for tokens. It reports false if there is none to ask. If the next
 // issuer is this node, the tokens are added at once.
-func (l *Limiter) ask(now time.Duration, s *workspace, name string, e *entry) bool {
+func (l *Limiter) ask(now time.Duration, s *workspace, name string) bool {
 	node, ok := s.allowance.Next(now, &l.contacts)
 	if !ok {
 		return false
 	}
 	if node == l.cfg.Node {
-		l.record(now, s, node, l.issue(now, name, e, max(1, s.waiting)), now)
+		l.record(now, s, node, l.issue(now, name, s.entry, max(1, s.waiting)), now)
 		return true
 	}
-	for i, issuer := range e.nodes {
-		if issuer == node {
-			want := s.allowance.Want(now, s.waiting+1)
-			s.asking = true
-			l.tasks.Go(func() { l.send(s, node, e.addresses[i], limit.TokenRequest{Key: name, Want: want}, now) })
-			return true
-		}
-	}
-	return false
+	address := s.entry.addresses[slices.Index(s.entry.nodes, node)]
+	q := limit.TokenRequest{Key: name, Want: s.allowance.Want(now, s.waiting+1)}
+	s.asking = true
+	l.tasks.Go(func() { l.send(s, node, address, q, now) })
+	return true
 }
 
 // send sends a request for tokens and records the reply. A node that has not replied within
@@ -324,7 +323,8 @@
 
 // refuse returns the error for a request without a token. A request of a workspace whose quota
 // is new is admitted if no issuer knows the quota yet.
-func (l *Limiter) refuse(now time.Duration, s *workspace, w *route.Workspace, e *entry) (limit.Token, time.Duration, error) {
+func (l *Limiter) refuse(now time.Duration, s *workspace, w *route.Workspace) (limit.Token, time.Duration, error) {
+	e := s.entry
 	wait, isOver := s.allowance.Wait(now, &l.contacts)
 	if !isOver && e.isNew(now) {
 		l.cfg.Counter.CountQuotaDecision(decisionAdmitted)
@@ -356,7 +356,7 @@
 
 // IssueTokens replies to requests of other nodes for tokens.
 func (l *Limiter) IssueTokens(list []limit.TokenRequest) []limit.TokenReply {
-	t := l.tableFor(l.cfg.Snapshot())
+	t := l.current()
 	replies := make([]limit.TokenReply, len(list))
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -381,5 +381,5 @@
 	}
 	granted, wait := l.issuer.Issue(now, name, e.part.Rate, e.part.Burst, want)
 	l.cfg.Counter.CountTokensIssued(granted)
-	return limit.TokenReply{Granted: granted, Wait: wait}
+	return limit.TokenReply{Granted: granted, Wait: wait, Unknown: !l.issuer.HasStarted(now, name)}
 }
--- a/limit/issuer.go
+++ b/limit/issuer.go
@@ -34,7 +34,7 @@
 type TokenReply struct {
 	Granted int
 	Wait    time.Duration // until a token is due, if none was granted
-	Unknown bool          // the node does not issue tokens of the key
+	Unknown bool          // the node does not issue tokens of the key, or not yet
 }
 
 // Quota is a limit on the requests of one key over all nodes.
@@ -129,6 +129,13 @@
 	s.buckets[key].tokens, s.buckets[key].filledAt = burst, now
 }
 
+// HasStarted reports whether the bucket of key exists and has started. An issuer whose bucket
+// has not does not know whether the quota is used up.
+func (s *Issuer) HasStarted(now time.Duration, key string) bool {
+	b, ok := s.buckets[key]
+	return ok && b.filledAt <= now
+}
+
 // Defer postpones the start of the bucket of key by handoverDelay, unless it has started. It
 // is called while the node that a new issuer replaces does not respond: that node may not know
 // that it is no longer an issuer.
--- a/limit/simulation_test.go
+++ b/limit/simulation_test.go
@@ -310,7 +310,7 @@
 		return TokenReply{Unknown: true}
 	}
 	granted, wait := n.issuer.Issue(s.now, w.name, part.Rate, part.Burst, want)
-	return TokenReply{Granted: granted, Wait: wait}
+	return TokenReply{Granted: granted, Wait: wait, Unknown: !n.issuer.HasStarted(s.now, w.name)}
 }
 
 // ask sends a request for tokens to another node. Messages take about a millisecond.
