--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -3,10 +3,12 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,11 +30,6 @@
 	storeIdleTimeout = 30 * time.Second
 )
 
-// heapGrowthPercent is the garbage collection target percentage (GOGC). Memory is
-// scarcer than processor time on the VMs: half of Go's default saves about a tenth
-// of the resident memory.
-const heapGrowthPercent = 50
-
 // Command is the command that runs a node, with its flags.
 type Command struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file"`
@@ -48,7 +45,7 @@
 	if c.Settings == "" {
 		return gd.Invalid.Errorf("--settings or %s must name the settings file", platform.SettingsVariable)
 	}
-	debug.SetGCPercent(heapGrowthPercent)
+	debug.SetGCPercent(minHeapGrowthPercent)
 	s, err := settings.ReadSidecar(c.Settings)
 	if err != nil {
 		return err
@@ -72,6 +69,11 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var adjusting sync.WaitGroup
+	adjusting.Go(func() { adjustHeapGrowth(ctx) })
+	defer adjusting.Wait()
+	defer cancel()
 	n.Start()
 	for isStopping := false; !isStopping; {
 		select {
