--- a/internal/load/emulator/experiment.go
+++ b/internal/load/emulator/experiment.go
@@ -61,20 +61,23 @@
 	Calls      []Call
 }
 
-// Call describes a request of the given class that a server may send while it runs
-// a request of another class. Share is the probability that it does.
+// Call describes requests of the given class that a server may send while it runs
+// a request of another class. Share is the probability that it does, and Count how
+// many it sends at a time, one if it is 0.
 type Call struct {
 	Class string  `yaml:"class"`
 	Share float64 `yaml:"share"`
+	Count int     `yaml:"count"`
 }
 
 // Event changes the load or the servers for a limited time.
 type Event struct {
 	Kind    string // one of eventKinds
 	At, For time.Duration
-	Factor  float64 // factor on the load or the work; for Fail, the fraction of requests that fail; for Limit, requests per second
-	Service string  // empty for all
-	Share   float64 // fraction of the servers that are affected
+	Factor  float64       // factor on the load or the work; for Fail, the fraction of requests that fail; for Limit, requests per second
+	Service string        // empty for all
+	Share   float64       // fraction of the servers that are affected
+	Period  time.Duration // for Wave
 }
 
 // Sweep varies one parameter of the experiment. There is one run for each value.
@@ -96,6 +99,7 @@
 // Kinds of events.
 const (
 	Burst = "burst" // multiplies the request rate of the clients
+	Wave  = "wave"  // varies that rate as a sine with the amplitude Factor, relative to the mean
 	Slow  = "slow"  // multiplies the work of requests
 	Fail  = "fail"  // fails a fraction of the requests
 	Shed  = "shed"  // makes servers refuse to run a fraction of the requests, though they have room
@@ -107,7 +111,7 @@
 	Unlisted = "unlisted"
 )
 
-var eventKinds = []string{Burst, Slow, Fail, Shed, Down, Dark, Limit, Unlisted}
+var eventKinds = []string{Burst, Wave, Slow, Fail, Shed, Down, Dark, Limit, Unlisted}
 
 type wireExperiment struct {
 	Seed            uint64        `yaml:"seed"`
@@ -157,6 +161,7 @@
 	Factor  float64 `yaml:"factor"`
 	Service string  `yaml:"service"`
 	Share   float64 `yaml:"share"`
+	Period  string  `yaml:"period"`
 }
 
 // Parse decodes an experiment from YAML. Errors name the file and the key, or the
@@ -186,7 +191,7 @@
 	for i, e := range w.Events {
 		x.Events = append(x.Events, Event{
 			Kind: e.Kind, At: p.duration(fmt.Sprintf("events[%d].at", i), e.At), For: p.duration(fmt.Sprintf("events[%d].for", i), e.For),
-			Factor: e.Factor, Service: e.Service, Share: e.Share,
+			Factor: e.Factor, Service: e.Service, Share: e.Share, Period: p.duration(fmt.Sprintf("events[%d].period", i), e.Period),
 		})
 	}
 	if p.err != nil {
@@ -267,6 +272,9 @@
 		if !slices.Contains(eventKinds, e.Kind) {
 			return gd.Invalid.Errorf("key events[%d].kind: %q is not one of %s", i, e.Kind, strings.Join(eventKinds, ", "))
 		}
+		if e.Kind == Wave && (e.Period <= 0 || e.Factor < 0 || e.Factor >= 1) {
+			return gd.Invalid.Errorf("key events[%d]: a wave needs a period above 0 and a factor from 0 to below 1", i)
+		}
 	}
 	return nil
 }
--- a/internal/load/emulator/node.go
+++ b/internal/load/emulator/node.go
@@ -133,6 +133,7 @@
 	sim := n.sim
 	delete(n.waiting, a.id)
 	n.running[a.id] = a
+	a.started = sim.now
 	sim.result.addStart(n.record.Node, sim.now)
 	c := a.r.class
 	work := time.Duration(float64(c.Work) * n.workFactor * math.Exp(c.Spread*sim.rng.NormFloat64()-c.Spread*c.Spread/2))
@@ -147,7 +148,7 @@
 	sim.after(work, func() { n.call(a, 0) })
 }
 
-// call makes the i-th call of a request with the probability that its class gives,
+// call makes the i-th calls of a request with the probability that its class gives,
 // then the calls after it, and finishes the request after the last one.
 func (n *node) call(a *attempt, i int) {
 	calls := a.r.class.Calls
@@ -160,14 +161,19 @@
 		return
 	}
 	c := n.sim.classes[calls[i].Class]
-	n.sim.result.addRequest(c.Name, n.sim.now)
-	r := &request{class: c, ingress: n, firstSent: n.sim.now, deadline: min(n.sim.now+c.Deadline, a.r.deadline), isServerCall: true}
-	r.done = func(ok bool) {
-		n.sim.result.addOutcome(c.Name, r.firstSent, n.sim.now, ok)
-		a.failed = a.failed || !ok
-		n.call(a, i+1)
+	pending := max(calls[i].Count, 1)
+	for range pending {
+		n.sim.result.addRequest(c.Name, n.sim.now)
+		r := &request{class: c, ingress: n, firstSent: n.sim.now, deadline: min(n.sim.now+c.Deadline, a.r.deadline), isServerCall: true}
+		r.done = func(ok bool) {
+			n.sim.result.addOutcome(c.Name, r.firstSent, n.sim.now, ok)
+			a.failed = a.failed || !ok
+			if pending--; pending == 0 {
+				n.call(a, i+1)
+			}
+		}
+		n.sim.dispatch(r)
 	}
-	n.sim.dispatch(r)
 }
 
 // finish frees the slot of a request and sends the response to the ingress.
@@ -178,6 +184,7 @@
 	}
 	delete(n.running, a.id)
 	isFailure := a.failed || a.shed
+	sim.result.addRun(n.record.Service, n.record.Node, sim.now-a.started, a.failed)
 	n.queue.Done(sim.now, a.id, !isFailure)
 	failed := 0.0
 	if isFailure {
--- a/internal/load/emulator/result.go
+++ b/internal/load/emulator/result.go
@@ -10,6 +10,7 @@
 	Classes     map[string]*Outcome
 	Seconds     []Second                   // clients' requests by the second in which they were sent
 	Starts      map[string][]time.Duration // by node: when its server got requests
+	Services    map[string]*Servers
 	classNames  []string
 	classByName map[string]Class
 }
@@ -25,13 +26,36 @@
 	Times    []time.Duration // latencies of the served requests
 }
 
+// Servers holds what the servers of one service did.
+type Servers struct {
+	Runs   int                      // requests that ended on a server, including those that it shed
+	Failed int                      // runs that failed, because of a fault or of a call
+	Busy   map[string]time.Duration // slot time by node
+	count  int                      // number of servers
+}
+
+// Busiest returns the slot time of the busiest server, relative to the mean.
+func (s *Servers) Busiest() float64 {
+	var most, sum time.Duration
+	for _, busy := range s.Busy {
+		most, sum = max(most, busy), sum+busy
+	}
+	if sum == 0 {
+		return 1
+	}
+	return float64(most) * float64(s.count) / float64(sum)
+}
+
 // Second holds the outcomes of the clients' requests that were sent in one second.
 type Second struct {
 	Requests, InTime, Late int
 }
 
 func newResult(experiment Experiment) *Result {
-	r := &Result{Classes: map[string]*Outcome{}, Starts: map[string][]time.Duration{}, classByName: map[string]Class{}, Seconds: make([]Second, int(experiment.Duration/time.Second)+1)}
+	r := &Result{Services: map[string]*Servers{}, Classes: map[string]*Outcome{}, Starts: map[string][]time.Duration{}, classByName: map[string]Class{}, Seconds: make([]Second, int(experiment.Duration/time.Second)+1)}
+	for _, s := range experiment.Services {
+		r.Services[s.Name] = &Servers{Busy: map[string]time.Duration{}, count: s.Servers}
+	}
 	for _, c := range experiment.Classes {
 		r.Classes[c.Name] = &Outcome{}
 		r.classByName[c.Name] = c
@@ -57,6 +81,15 @@
 
 func (r *Result) addStart(node string, at time.Duration) { r.Starts[node] = append(r.Starts[node], at) }
 
+func (r *Result) addRun(service, node string, took time.Duration, failed bool) {
+	s := r.Services[service]
+	s.Runs++
+	if failed {
+		s.Failed++
+	}
+	s.Busy[node] += took
+}
+
 func (r *Result) addRetry(class string) { r.Classes[class].Retries++ }
 
 func (r *Result) addRefusal(class string) { r.Classes[class].Refused++ }
--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -74,11 +74,12 @@
 
 // attempt is a request that waits or runs at one server.
 type attempt struct {
-	r      *request
-	target *node
-	id     uint64
-	failed bool
-	shed   bool // the server refused to run it
+	r       *request
+	target  *node
+	id      uint64
+	failed  bool
+	shed    bool          // the server refused to run it
+	started time.Duration // time at which it got a slot
 }
 
 // Run runs the experiment once and returns the outcomes.
@@ -137,7 +138,7 @@
 // scheduleArrival schedules the next request of a class, which in turn schedules
 // the one after it.
 func (sim *simulator) scheduleArrival(c *Class) {
-	rate := c.PerSecond * sim.eventFactor(Burst, "")
+	rate := c.PerSecond * sim.eventFactor(Burst, "") * sim.waveFactor()
 	gap := time.Duration(sim.rng.ExpFloat64() / rate * float64(time.Second))
 	sim.after(gap, func() {
 		if sim.now >= sim.experiment.Duration {
@@ -163,6 +164,17 @@
 	return f
 }
 
+// waveFactor returns the product of the factors of all active waves.
+func (sim *simulator) waveFactor() float64 {
+	f := 1.0
+	for _, e := range sim.experiment.Events {
+		if e.Kind == Wave && sim.now >= e.At && sim.now < e.At+e.For {
+			f *= 1 + e.Factor*math.Sin(2*math.Pi*float64(sim.now-e.At)/float64(e.Period))
+		}
+	}
+	return f
+}
+
 // faultFactor returns the factor of the active event of a kind that affects the
 // node, or 0 if there is none.
 func (n *node) faultFactor(kind string) float64 {
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/wcharczuk/go-chart/v2"
@@ -18,15 +20,22 @@
 	Result *emulator.Result
 }
 
-// Table writes a text table with a line for each class of each run.
+// Table writes a text table with a line for each class and each service of each run.
 func Table(w io.Writer, runs []Run) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "run\tclass\tasked\tin objective\tlate\tunserved\trefusals\tp50\tp99\tworth\t")
+	fmt.Fprintln(t, "run\tclass\tasked\tin objective\tlate\tunserved\tretries\trefusals\tp50\tp99\tworth\t")
 	for _, r := range runs {
 		for _, name := range r.Result.ClassNames() {
 			o := r.Result.Classes[name]
-			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%s\t%s\t%.3f\t\n", r.Name, name, o.Requests, o.InObjective(), o.Late,
-				o.Unserved, o.Refused, o.Percentile(0.5).Round(precision), o.Percentile(0.99).Round(precision), r.Result.Worth())
+			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%s\t%s\t%.3f\t\n", r.Name, name, o.Requests, o.InObjective(), o.Late,
+				o.Unserved, o.Retries, o.Refused, o.Percentile(0.5).Round(precision), o.Percentile(0.99).Round(precision), r.Result.Worth())
+		}
+	}
+	fmt.Fprintln(t, "\nrun\tservice\truns\tfailed\tbusiest/mean\t")
+	for _, r := range runs {
+		for _, name := range slices.Sorted(maps.Keys(r.Result.Services)) {
+			s := r.Result.Services[name]
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.2f\t\n", r.Name, name, s.Runs, s.Failed, s.Busiest())
 		}
 	}
 	if err := t.Flush(); err != nil {
