--- a/internal/call/budget/budget.go
+++ b/internal/call/budget/budget.go
@@ -20,15 +20,19 @@
 	Slack      float64 // additional retries allowed in a window
 	RerunShare float64 // fraction of the allowed retries that may be reruns
 	// FirstShare is the fraction of the allowed retries for requests that their
-	// callers have sent once. The rest is for requests that callers have repeated
+	// callers may send again. The rest is for requests that callers have repeated
 	// after a refusal and will not send again.
 	FirstShare float64
+	// OnceShare is the same for requests whose callers do not repeat refused requests.
+	// It is FirstShare if it is less.
+	OnceShare float64
 }
 
 // Retry describes a retry.
 type Retry struct {
 	IsRerun  bool // the request may have run
 	IsRepeat bool // the caller has sent the request before
+	IsOnce   bool // the caller does not repeat refused requests
 }
 
 // Budget counts the requests and retries of one node by service. It is not safe
@@ -75,6 +79,17 @@
 	w.requests[w.bucket%(buckets+1)]++
 }
 
+// share returns the fraction of the allowed retries up to which r may be made.
+func (l Limits) share(r Retry) float64 {
+	switch {
+	case r.IsRepeat:
+		return 1
+	case r.IsOnce:
+		return max(l.OnceShare, l.FirstShare)
+	}
+	return l.FirstShare
+}
+
 // Take reports whether a request may be retried at another server of the service,
 // and counts the retry if so. The slack is divided by the number of nodes.
 func (b *Budget) Take(now time.Duration, service string, nodes int, r Retry) bool {
@@ -89,9 +104,7 @@
 	switch {
 	case r.IsRerun && float64(reruns)+1 > b.limits.RerunShare*allowed:
 		return false
-	case !r.IsRepeat && float64(retries)+1 > b.limits.FirstShare*allowed:
-		return false
-	case float64(retries)+1 > allowed:
+	case float64(retries)+1 > b.limits.share(r)*allowed:
 		return false
 	}
 	i := w.bucket % (buckets + 1)
--- a/internal/call/budget/budget_test.go
+++ b/internal/call/budget/budget_test.go
@@ -13,7 +13,7 @@
 // TestRetriesInEveryWindowAreBounded runs random requests and retries on several
 // nodes and checks the limit on retries in each window that starts at a retry.
 func TestRetriesInEveryWindowAreBounded(t *testing.T) {
-	limits := Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 12, RerunShare: 0.5, FirstShare: 0.5}
+	limits := Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 12, RerunShare: 0.5, FirstShare: 0.5, OnceShare: 0.8}
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(1, 4).Draw(t, "nodes")
 		budgets := make([]*Budget, nodes)
@@ -26,7 +26,7 @@
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond
 			b := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
 			if rapid.Bool().Draw(t, "repeat") {
-				r := Retry{IsRerun: rapid.Bool().Draw(t, "rerun"), IsRepeat: rapid.Bool().Draw(t, "repeated")}
+				r := Retry{IsRerun: rapid.Bool().Draw(t, "rerun"), IsRepeat: rapid.Bool().Draw(t, "repeated"), IsOnce: rapid.Bool().Draw(t, "once")}
 				if b.Take(now, "shop", nodes, r) {
 					retries = append(retries, now)
 					if r.IsRerun {
@@ -81,11 +81,17 @@
 // the retries only, and that a repeated request may use what they left.
 func TestRetriesAreReserved(t *testing.T) {
 	is := is.New(t)
-	b := New(Limits{Window: 10 * time.Second, Slack: 6, RerunShare: 0.5, FirstShare: 0.5})
+	b := New(Limits{Window: 10 * time.Second, Slack: 6, RerunShare: 0.5, FirstShare: 0.5, OnceShare: 0.7})
 	is.True(b.Take(0, "a", 1, Retry{}))
 	is.True(b.Take(0, "a", 1, Retry{IsRerun: true}))
 	is.True(b.Take(0, "a", 1, Retry{}))
 	is.True(!b.Take(0, "a", 1, Retry{}))
+	is.True(b.Take(0, "once", 1, Retry{IsOnce: true}))
+	is.True(b.Take(0, "once", 1, Retry{IsOnce: true}))
+	is.True(b.Take(0, "once", 1, Retry{IsOnce: true}))
+	is.True(b.Take(0, "once", 1, Retry{IsOnce: true}))
+	is.True(!b.Take(0, "once", 1, Retry{IsOnce: true})) // 0.7 of 6 is less than 5
+	is.True(b.Take(0, "once", 1, Retry{IsRepeat: true, IsOnce: true}))
 	is.True(b.Take(0, "a", 1, Retry{IsRerun: true, IsRepeat: true}))
 	is.True(b.Take(0, "a", 1, Retry{IsRerun: true, IsRepeat: true}))
 	is.True(!b.Take(0, "a", 1, Retry{IsRerun: true, IsRepeat: true}))
--- a/internal/load/emulator/experiment.go
+++ b/internal/load/emulator/experiment.go
@@ -32,6 +32,7 @@
 	RepeatSlack     float64 // retries allowed in a window in addition to the ratio
 	RerunShare      float64 // fraction of the retries that may be of requests that have run
 	FirstShare      float64 // fraction of the retries that may be of requests that their clients have not repeated
+	OnceShare       float64 // the same for requests whose callers do not repeat them; at least FirstShare
 	Sweep           Sweep
 }
 
@@ -45,20 +46,21 @@
 
 // Class describes requests of one kind.
 type Class struct {
-	Name       string
-	Service    string
-	PerSecond  float64
-	Work       time.Duration // mean time that a request holds a slot
-	Spread     float64       // standard deviation of the logarithm of that time
-	Objective  time.Duration
-	Deadline   time.Duration
-	Priority   int
-	Worth      float64 // value of a response within the objective
-	LateWorth  float64 // value of a later response, as a fraction of Worth
-	Repeats    int     // maximum number of repeats by the client
-	Attempts   int     // maximum number of servers that one request may reach
-	Idempotent bool
-	Calls      []Call
+	Name        string
+	Service     string
+	PerSecond   float64
+	Work        time.Duration // mean time that a request holds a slot
+	Spread      float64       // standard deviation of the logarithm of that time
+	Objective   time.Duration
+	Deadline    time.Duration
+	Priority    int
+	Worth       float64 // value of a response within the objective
+	LateWorth   float64 // value of a later response, as a fraction of Worth
+	Repeats     int     // maximum number of repeats by the client
+	RefusedOnly bool    // the client repeats requests that were refused, but none that failed
+	Attempts    int     // maximum number of servers that one request may reach
+	Idempotent  bool
+	Calls       []Call
 }
 
 // Call describes requests of the given class that a server may send while it runs
@@ -127,6 +129,7 @@
 	RepeatSlack     float64       `yaml:"repeat-slack"`
 	RerunShare      float64       `yaml:"rerun-share"`
 	FirstShare      float64       `yaml:"first-share"`
+	OnceShare       float64       `yaml:"once-share"`
 	Sweep           Sweep         `yaml:"sweep"`
 }
 
@@ -138,20 +141,21 @@
 }
 
 type wireClass struct {
-	Name       string  `yaml:"name"`
-	Service    string  `yaml:"service"`
-	PerSecond  float64 `yaml:"per-second"`
-	Work       string  `yaml:"work"`
-	Spread     float64 `yaml:"spread"`
-	Objective  string  `yaml:"objective"`
-	Deadline   string  `yaml:"deadline"`
-	Priority   int     `yaml:"priority"`
-	Worth      float64 `yaml:"worth"`
-	LateWorth  float64 `yaml:"late-worth"`
-	Repeats    int     `yaml:"retries"`
-	Attempts   int     `yaml:"attempts"`
-	Idempotent bool    `yaml:"idempotent"`
-	Calls      []Call  `yaml:"calls"`
+	Name        string  `yaml:"name"`
+	Service     string  `yaml:"service"`
+	PerSecond   float64 `yaml:"per-second"`
+	Work        string  `yaml:"work"`
+	Spread      float64 `yaml:"spread"`
+	Objective   string  `yaml:"objective"`
+	Deadline    string  `yaml:"deadline"`
+	Priority    int     `yaml:"priority"`
+	Worth       float64 `yaml:"worth"`
+	LateWorth   float64 `yaml:"late-worth"`
+	Repeats     int     `yaml:"retries"`
+	RefusedOnly bool    `yaml:"repeats-refused-only"`
+	Attempts    int     `yaml:"attempts"`
+	Idempotent  bool    `yaml:"idempotent"`
+	Calls       []Call  `yaml:"calls"`
 }
 
 type wireEvent struct {
@@ -175,7 +179,7 @@
 	x := Experiment{
 		Seed: w.Seed, Duration: p.duration("duration", w.Duration), DataCentres: w.DataCentres,
 		DataCentreDelay: p.duration("between", w.DataCentreDelay), Placement: w.Placement, Admission: w.Admission,
-		RepeatRatio: w.RepeatRatio, RepeatSlack: w.RepeatSlack, RerunShare: w.RerunShare, FirstShare: w.FirstShare, Sweep: w.Sweep,
+		RepeatRatio: w.RepeatRatio, RepeatSlack: w.RepeatSlack, RerunShare: w.RerunShare, FirstShare: w.FirstShare, OnceShare: w.OnceShare, Sweep: w.Sweep,
 	}
 	for _, s := range w.Services {
 		x.Services = append(x.Services, Service(s))
@@ -185,7 +189,7 @@
 		x.Classes = append(x.Classes, Class{
 			Name: c.Name, Service: c.Service, PerSecond: c.PerSecond, Work: p.duration(key("work"), c.Work), Spread: c.Spread,
 			Objective: p.duration(key("objective"), c.Objective), Deadline: p.duration(key("deadline"), c.Deadline),
-			Priority: c.Priority, Worth: c.Worth, LateWorth: c.LateWorth, Repeats: c.Repeats, Attempts: cmp.Or(c.Attempts, defaultAttempts), Idempotent: c.Idempotent, Calls: c.Calls,
+			Priority: c.Priority, Worth: c.Worth, LateWorth: c.LateWorth, Repeats: c.Repeats, RefusedOnly: c.RefusedOnly, Attempts: cmp.Or(c.Attempts, defaultAttempts), Idempotent: c.Idempotent, Calls: c.Calls,
 		})
 	}
 	for i, e := range w.Events {
--- a/internal/load/emulator/node.go
+++ b/internal/load/emulator/node.go
@@ -222,16 +222,16 @@
 func (r *request) retryOrFail(n *node) {
 	sim, in := n.sim, r.ingress
 	isSafe := r.class.Idempotent || !r.ran
-	if isSafe && r.reached < r.class.Attempts && in.budget.Take(sim.now, r.class.Service, len(sim.nodes), budget.Retry{IsRerun: r.ran, IsRepeat: r.repeats > 0}) {
+	if isSafe && r.reached < r.class.Attempts && in.budget.Take(sim.now, r.class.Service, len(sim.nodes), budget.Retry{IsRerun: r.ran, IsRepeat: r.repeats > 0, IsOnce: !in.refused.CallersReturn(sim.now, r.class.Name)}) {
 		sim.result.addRetry(r.class.Name)
 		r.search.WasAsked(n.record.Node, false)
 		sim.offerNext(r)
 		return
 	}
 	if !r.ran {
-		sim.result.addRefusal(r.class.Name)
+		sim.addRefusal(r)
 	}
-	sim.repeatOrFail(r, clientBackoff, isSafe)
+	sim.repeatOrFail(r, clientBackoff, !r.ran || isSafe && !r.class.RefusedOnly)
 }
 
 // failureSmoothing is the weight of the newest outcome in the moving average of failures.
--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -11,6 +11,8 @@
 	"github.com/geraniumdock/geraniumdock/internal/call/admission"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
+	"github.com/geraniumdock/geraniumdock/internal/call/refusal"
+	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
@@ -25,16 +27,17 @@
 
 // simulator holds the state of a run. All events run in one goroutine.
 type simulator struct {
-	experiment Experiment
-	rng        *rand.Rand
-	now        time.Duration
-	events     eventQueue
-	sequence   uint64
-	nodes      []*node
-	servers    map[string][]server.Record
-	classes    map[string]*Class
-	result     *Result
-	lastID     uint64
+	experiment  Experiment
+	rng         *rand.Rand
+	now         time.Duration
+	events      eventQueue
+	sequence    uint64
+	nodes       []*node
+	servers     map[string][]server.Record
+	classes     map[string]*Class
+	result      *Result
+	lastID      uint64
+	lastRequest uint64
 }
 
 // node is a VM: a sidecar, whose ingress sends requests to servers, and the server
@@ -46,6 +49,7 @@
 	workFactor     float64
 	estimates      *placement.Estimates
 	budget         *budget.Budget
+	refused        *refusal.Memory
 	queue          *admission.Queue
 	fifo           []uint64 // IDs of the waiting requests with AdmitFIFO
 	waiting        map[uint64]*attempt
@@ -59,6 +63,7 @@
 // request is a client's request or a call that a server makes.
 type request struct {
 	class        *Class
+	identity     quarantine.Fingerprint
 	ingress      *node
 	firstSent    time.Duration // time at which the request was first sent
 	deadline     time.Duration
@@ -116,8 +121,8 @@
 			}
 			n := &node{
 				sim: sim, service: s, workFactor: workFactor, queue: admission.New(s.Slots),
-				waiting: map[uint64]*attempt{}, running: map[uint64]*attempt{}, outstanding: map[string]int{},
-				budget: budget.New(budget.Limits{Window: retryBudgetWindow, Ratio: sim.experiment.RepeatRatio, Slack: sim.experiment.RepeatSlack, RerunShare: sim.experiment.RerunShare, FirstShare: sim.experiment.FirstShare}),
+				waiting: map[uint64]*attempt{}, running: map[uint64]*attempt{}, outstanding: map[string]int{}, refused: refusal.New(),
+				budget: budget.New(budget.Limits{Window: retryBudgetWindow, Ratio: sim.experiment.RepeatRatio, Slack: sim.experiment.RepeatSlack, RerunShare: sim.experiment.RerunShare, FirstShare: sim.experiment.FirstShare, OnceShare: sim.experiment.OnceShare}),
 			}
 			n.record = server.Record{
 				Node: fmt.Sprintf("%s-%d", s.Name, k), Service: s.Name, Slots: s.Slots,
@@ -193,8 +198,13 @@
 // dispatch starts a new search for a node that takes the request, as the ingress
 // does.
 func (sim *simulator) dispatch(r *request) {
+	if r.identity == 0 {
+		sim.lastRequest++
+		r.identity = quarantine.Fingerprint(sim.lastRequest)
+	}
 	in := r.ingress
 	in.budget.AddRequest(sim.now, r.class.Service)
+	in.refused.Take(sim.now, r.identity)
 	r.search, r.reached, r.ran = placement.NewSearch(sim.now, r.firstSent+r.class.Objective, r.deadline), 0, false
 	sim.offerNext(r)
 }
@@ -252,10 +262,16 @@
 // clientRefused handles a request that no node accepted: the client repeats
 // it or gives up.
 func (sim *simulator) clientRefused(r *request) {
-	sim.result.addRefusal(r.class.Name)
+	sim.addRefusal(r)
 	sim.repeatOrFail(r, max(r.retryAfter, clientBackoff), true)
 }
 
+// addRefusal records that the client gets a refusal.
+func (sim *simulator) addRefusal(r *request) {
+	sim.result.addRefusal(r.class.Name)
+	r.ingress.refused.Add(sim.now, r.identity, refusal.Failure{Route: r.class.Name, FirstSeen: r.firstSent, Deadline: r.deadline, MayReturn: r.repeats == 0})
+}
+
 func (sim *simulator) repeatOrFail(r *request, pause time.Duration, mayRepeat bool) {
 	pause = min(pause, (r.deadline-sim.now)/3)
 	if r.isServerCall || !mayRepeat || r.repeats >= r.class.Repeats || pause <= 0 {
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -256,7 +256,8 @@
 	}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if !s.g.budget.Take(now, s.service, s.snapshot.Nodes(now), budget.Retry{IsRerun: s.ran, IsRepeat: s.isRepeat}) {
+	s.isOnce = !s.g.refused.CallersReturn(now, s.route.Name)
+	if !s.g.budget.Take(now, s.service, s.snapshot.Nodes(now), budget.Retry{IsRerun: s.ran, IsRepeat: s.isRepeat, IsOnce: s.isOnce}) {
 		return giveUpNoBudget
 	}
 	return ""
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -141,6 +141,7 @@
 	objective time.Duration          // monotonic time until which a response meets the latency objective
 	firstSeen time.Duration          // monotonic time at which the caller's first attempt arrived
 	isRepeat  bool                   // the caller has sent the request before
+	isOnce    bool                   // when a retry was considered, the callers of the route did not repeat refused requests
 	identity  quarantine.Fingerprint // see identify
 
 	search       placement.Search
@@ -230,14 +231,25 @@
 
 // remember records that the request has failed, so that it is recognized if the
 // caller repeats it. A request without a route is not recorded.
-func (s *requestState) remember() {
+func (s *requestState) remember(code int) {
 	if s.route == nil {
 		return
 	}
 	g := s.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.refused.Add(g.cfg.Clock.Monotonic(), s.identity, s.firstSeen, s.deadline)
+	g.refused.Add(g.cfg.Clock.Monotonic(), s.identity, refusal.Failure{
+		Route: s.route.Name, FirstSeen: s.firstSeen, Deadline: s.deadline,
+		MayReturn: code == http.StatusServiceUnavailable && !s.isRepeat && s.giveUpReason != giveUpCallerLeft,
+	})
+}
+
+// RoutesWithoutRepeats returns the number of routes whose callers do not repeat requests
+// that this node has refused.
+func (g *Ingress) RoutesWithoutRepeats() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refused.RoutesWithoutRepeats(g.cfg.Clock.Monotonic())
 }
 
 // identify returns a value that is the same for all repeats of the request, and differs for
--- a/internal/proxy/ingress/outcome.go
+++ b/internal/proxy/ingress/outcome.go
@@ -79,7 +79,7 @@
 // fields in extra if err is set. Of the successful requests it logs only a sample.
 func (s *requestState) log(code int, err error, extra ...any) {
 	if code >= http.StatusInternalServerError {
-		s.remember()
+		s.remember(code)
 	}
 	now := s.g.cfg.Clock.Monotonic()
 	o := Outcome{Status: code, Route: s.routeKind(), Took: now - s.began, NodesAsked: s.search.Asked(), Reached: s.reached}
@@ -98,6 +98,9 @@
 	if s.giveUpReason != "" {
 		fields = append(fields, "given-up", s.giveUpReason)
 	}
+	if s.isOnce {
+		fields = append(fields, "callers-return", false)
+	}
 	if s.workspace != nil {
 		fields = append(fields, "workspace", s.workspace.Name)
 	}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -49,6 +49,10 @@
 	// firstShare is the fraction of these retries for requests that callers have
 	// sent once. A caller that repeats a refused request costs no retry.
 	firstShare = 0.5
+	// onceShare is the same for requests of routes whose callers do not repeat refused
+	// requests, as servers do with their calls. A refused call wastes the run that made
+	// it. The rest stays for requests that callers have repeated.
+	onceShare = 0.8
 )
 
 // Config configures a Sidecar.
@@ -156,7 +160,7 @@
 // its retries.
 func retryBudget(b settings.SidecarBounds) budget.Limits {
 	window, ratio, slack := b.RetryLimits()
-	return budget.Limits{Window: window, Ratio: retryShare * ratio, Slack: retryShare * slack, RerunShare: rerunShare / retryShare, FirstShare: firstShare}
+	return budget.Limits{Window: window, Ratio: retryShare * ratio, Slack: retryShare * slack, RerunShare: rerunShare / retryShare, FirstShare: firstShare, OnceShare: onceShare}
 }
 
 // crashThreshold is the number of crashes after which a request is refused even
@@ -221,6 +225,7 @@
 	m.Gauge("geraniumdock_nodes", func() float64 { return float64(s.roster.Snapshot().Nodes(s.cfg.Clock.Monotonic())) })
 	m.Gauge("geraniumdock_nodes_responding", func() float64 { return float64(s.roster.Snapshot().Responding()) })
 	m.Gauge("geraniumdock_reported_crashes", func() float64 { return float64(s.Crashes()) })
+	m.Gauge("geraniumdock_routes_without_repeats", func() float64 { return float64(s.ingress.RoutesWithoutRepeats()) })
 	m.Gauge("geraniumdock_client_connections", func() float64 { return float64(s.clientServer.Connections()) })
 	m.Gauge("geraniumdock_server_connections_opened", func() float64 { return float64(s.station.Opened()) })
 	m.Gauge("geraniumdock_slots_used", func() float64 { return float64(s.station.Load().Running) })
