--- a/internal/call/request/request.go
+++ b/internal/call/request/request.go
@@ -36,6 +36,10 @@
 	Local         bool          // sent by the node itself, not over the VM's network link
 }
 
+// HeldBodyBytes is how much of a large body of another node a station receives, or the
+// whole body if that is less, before the first byte of the request is sent to a server.
+const HeldBodyBytes = 64 << 10
+
 // Hash returns the hash of the request, to which its body is yet to be written.
 func (r Request) Hash() *quarantine.Hash {
 	h := quarantine.NewHash(r.Caller, r.Method, r.Host+r.Target)
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -296,6 +296,8 @@
 		err = gd.Unknown.Wrapf(err, "a server may have run the request in an earlier attempt")
 	case !s.ran && !last.Reached && ctx.Err() != nil:
 		err = gd.DeadlineUnreachable.Wrapf(err, "no server accepted the request before its deadline")
+	case !s.ran && !last.Reached && gd.KindOf(err).Response().Outcome != gd.NotRun:
+		err = gd.NoServer.Wrapf(err, "the request has reached no server")
 	}
 	return s.errorResponse(err, last.RetryAfter)
 }
--- a/internal/proxy/peer/client.go
+++ b/internal/proxy/peer/client.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sys/unix"
 
 	gd "github.com/geraniumdock/geraniumdock"
-	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
 	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
@@ -123,30 +122,37 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // keeps net/http from adding one
 	}
-	if r.ContentLength < 0 || r.ContentLength > placement.LargeBody {
+	if isLargeBody(r) {
 		h.Set("Expect", "100-continue") // the peer can refuse the request before its body is sent
 	}
+	p := newProgress(r)
 	req := (&http.Request{
 		Method:        r.Method,
 		URL:           &url.URL{Scheme: "http", Host: address, Path: requestPath},
 		Header:        h,
-		Body:          r.Body,
+		Body:          p.body(),
 		ContentLength: r.ContentLength,
-	}).WithContext(ctx)
+	}).WithContext(p.trace(ctx))
 	res, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return failedResult(ctx, err)
+		return failedResult(ctx, err, p.mayHaveReached())
 	}
 	return decodeResult(res)
 }
 
-// failedResult returns the result of an attempt that failed with err before the
-// peer responded. Only after a failed dial is it certain that nothing was sent.
-func failedResult(ctx context.Context, err error) request.Result {
+// failedResult returns the result of an attempt that failed with err before the peer
+// responded. mayHaveReached reports that so much was sent that a server may have received
+// a part of it.
+func failedResult(ctx context.Context, err error, mayHaveReached bool) request.Result {
 	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
 		return request.Failed(gd.NoServer.Wrapf(err, "node"), false)
 	}
-	if ctx.Err() != nil {
+	switch {
+	case !mayHaveReached && ctx.Err() != nil:
+		return request.Failed(gd.DeadlineUnreachable.Wrapf(ctx.Err(), "sending the request to the node"), false)
+	case !mayHaveReached:
+		return request.Failed(gd.NoServer.Wrapf(err, "node"), false)
+	case ctx.Err() != nil:
 		return request.Failed(gd.TimedOut.Wrapf(ctx.Err(), "node"), true)
 	}
 	return request.Failed(gd.Unknown.Wrapf(err, "node"), true)
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -103,7 +103,7 @@
 }
 
 // maxBufferedBytes is how much of a large body is received before the request
-// waits for a slot.
+// waits for a slot. It must not be less than request.HeldBodyBytes.
 const maxBufferedBytes = 1 << 20
 
 // receiveBody receives a large body over the link before its request takes a
@@ -251,8 +251,21 @@
 	s.startQueued()
 }
 
+// maxReplyTime is how long before its deadline a request leaves the queue, so that the
+// node that sent it learns that it has not run. Otherwise that node would have to respond
+// as if it may have. A response takes up to 20 ms on small processors.
+const maxReplyTime = 20 * time.Millisecond
+
+// waitTimeout returns how long a request with the given time left may wait for a slot.
+func waitTimeout(left time.Duration) time.Duration { return left - min(maxReplyTime, left/10) }
+
 // awaitSlot waits for a slot. If ctx ends first, the request leaves the queue.
 func (s *Station) awaitSlot(ctx context.Context, id uint64, granted <-chan error) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, waitTimeout(time.Until(deadline)))
+		defer cancel()
+	}
 	select {
 	case err := <-granted:
 		return err
--- a/internal/proxy/station/station_test.go
+++ b/internal/proxy/station/station_test.go
@@ -14,6 +14,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
+	"github.com/geraniumdock/geraniumdock/internal/call/admission"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
 	"github.com/geraniumdock/geraniumdock/internal/http1/pool"
 	"github.com/geraniumdock/geraniumdock/platform"
@@ -311,3 +312,23 @@
 		})
 	}
 }
+
+// TestWaitEndsBeforeTheDeadline lets a request wait for a slot that does not become free. The
+// node that sent it must learn before the deadline that it has not run: after that it has
+// to respond as if the request may have run.
+func TestWaitEndsBeforeTheDeadline(t *testing.T) {
+	is := is.New(t)
+	s, _ := newAnnouncedStation(t)
+	for id := range uint64(2) {
+		_, ok := s.queue.Offer(0, admission.Item{ID: 100 + id, Deadline: time.Hour}, true)
+		is.True(ok)
+	}
+	is.Equal(len(s.queue.Start(0)), 2)
+	const left = 400 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	a := s.Do(ctx, request.Request{Service: "shop", Remaining: left, Objective: left, MayWait: true})
+	is.NoErr(ctx.Err())
+	is.True(a.IsNotRun())
+	is.Equal(gd.KindOf(a.Err), gd.DeadlineUnreachable)
+}
