--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -7,6 +7,10 @@
 // request that cannot be served before its deadline is refused on arrival, with
 // the time after which the queue is expected to have drained.
 //
+// Within one priority, workspaces get equal shares of the slot time if they ask for it.
+// Requests without a workspace, in a deployment that has workspaces, are calls of running
+// requests and go before new requests of the same priority.
+//
 // A server in need states how many requests per second it accepts. The queue then
 // starts no more than that, whether or not slots are free.
 package admission
@@ -35,11 +39,15 @@
 // Item is a request for a slot. Objective and Deadline are readings of the
 // monotonic clock.
 type Item struct {
-	ID        uint64
-	Class     string        // requests of one class have similar slot times
-	Priority  int           // 0 is the highest
-	Objective time.Duration // a response after this has little value
-	Deadline  time.Duration // a response after this has no value
+	ID            uint64
+	Class         string        // requests of one class have similar slot times
+	Workspace     string        // that pays for the slot time, "" if none does
+	Priority      int           // 0 is the highest
+	RoutePriority int           // orders items of one Priority and Workspace; 0 is the highest
+	Objective     time.Duration // a response after this has little value
+	Deadline      time.Duration // a response after this has no value
+
+	rank float64 // slot time of the workspace, see setRanks
 }
 
 // Queue is the queue of one server. It is not safe for concurrent use. Use New to
@@ -52,12 +60,15 @@
 	mean            time.Duration            // mean slot time over all classes
 	overloadedUntil time.Duration            // end of the overload state, in which items that could meet their objective are refused
 	bucket          *limit.Bucket            // admits requests at the server's limit; nil if it has none
+	shares          shares
 }
 
 // run is a request that has a slot.
 type run struct {
-	class   string
-	started time.Duration
+	class     string
+	workspace string
+	started   time.Duration
+	charged   time.Duration // slot time that was charged to the workspace at the start
 }
 
 // New returns the queue of a server with the given number of slots, at least 1.
@@ -104,9 +115,13 @@
 // when it gets its slot.
 func (q *Queue) Offer(now time.Duration, it Item, mayWait bool) (Refusal, bool) {
 	if q.HasRoom(now) {
+		q.shares.offer(now, it)
 		q.insert(now, it)
 		return Refusal{}, true
 	}
+	if mayWait {
+		q.shares.offer(now, it)
+	}
 	wait := q.expectedWait(now, it)
 	refusal := Refusal{Kind: gd.QueueFull, Wait: wait, RetryAfter: q.retryAfter(now), Remaining: it.Deadline - now}
 	if !mayWait {
@@ -203,7 +218,15 @@
 // server's limit admits it if that is longer.
 func (q *Queue) expectedWait(now time.Duration, it Item) time.Duration {
 	work, position := q.slotWait(), 1
-	for _, w := range q.waiting {
+	waiting := q.waiting
+	if it.Workspace != "" {
+		waiting = append(slices.Clone(waiting), it)
+		q.setRanks(now, waiting)
+		i := slices.IndexFunc(waiting, func(w Item) bool { return w.ID == it.ID })
+		it = waiting[i]
+		waiting = slices.Delete(waiting, i, i+1)
+	}
+	for _, w := range waiting {
 		if q.precedes(now, w, it) {
 			work += q.slotTime(w.Class)
 			position++
@@ -245,26 +268,47 @@
 }
 
 // precedes reports whether a gets a slot before b. Items that can meet their
-// objective precede those that cannot; within each group the order is by priority
-// and objective.
+// objective precede those that cannot; within each group the order is by priority, the
+// recent slot time of the workspace, the priority of the route and the objective.
 func (q *Queue) precedes(now time.Duration, a, b Item) bool {
 	if onTime := q.meetsObjective(now, a); onTime != q.meetsObjective(now, b) {
 		return onTime
 	}
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
+		compareWorkspaces(a, b),
 		cmp.Compare(a.Objective, b.Objective),
 		cmp.Compare(a.ID, b.ID),
 	) < 0
 }
 
+// compareWorkspaces compares items of one priority by what their workspaces have used.
+// Calls of running requests, which have no workspace, go first: a refused call wastes the
+// slot time of the run that makes it. Items without a workspace are equal.
+func compareWorkspaces(a, b Item) int {
+	switch {
+	case a.Workspace == "" && b.Workspace == "":
+		return 0
+	case a.Workspace == "":
+		return -1
+	case b.Workspace == "":
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.RoutePriority, b.RoutePriority))
+}
+
 func (q *Queue) insert(now time.Duration, it Item) {
 	q.waiting = append(q.waiting, it)
 	q.order(now)
 }
 
 func (q *Queue) order(now time.Duration) {
-	slices.SortFunc(q.waiting, func(a, b Item) int {
+	q.setRanks(now, q.waiting)
+	q.sort(now, q.waiting)
+}
+
+func (q *Queue) sort(now time.Duration, items []Item) {
+	slices.SortFunc(items, func(a, b Item) int {
 		if q.precedes(now, a, b) {
 			return -1
 		}
@@ -283,7 +327,9 @@
 	started := 0
 	for started < n && (q.bucket == nil || q.bucket.Take(now)) {
 		it := q.waiting[started]
-		q.running[it.ID] = run{it.Class, now}
+		charged := q.slotTime(it.Class)
+		q.shares.start(now, it, charged)
+		q.running[it.ID] = run{it.Class, it.Workspace, now, charged}
 		started++
 	}
 	items := slices.Clone(q.waiting[:started])
@@ -314,7 +360,7 @@
 		switch {
 		case now+wait+slotTime > it.Deadline:
 			refusal.Kind = gd.DeadlineUnreachable
-		case now >= q.overloadedUntil || q.meetsObjective(now, it):
+		case now >= q.overloadedUntil || q.meetsObjective(now, it) && !q.isDisplaced(now, wait, it):
 			work += slotTime
 			position++
 			return false
@@ -325,6 +371,13 @@
 	return expired
 }
 
+// isDisplaced reports whether an item of a workspace that is over its share would miss its
+// objective because items of others have come before it. It is then refused at once,
+// as its caller has more time for another attempt.
+func (q *Queue) isDisplaced(now, wait time.Duration, it Item) bool {
+	return it.Workspace != "" && !q.meetsObjective(now+wait, it) && q.shares.rank(now, it.Workspace) > q.shares.average(now)
+}
+
 // Clear removes and returns all waiting items.
 func (q *Queue) Clear() []Item {
 	all := q.waiting
@@ -342,6 +395,7 @@
 	}
 	delete(q.running, id)
 	took := now - r.started
+	q.shares.charge(now, r.workspace, took-r.charged)
 	if !completed && took <= q.slotTime(r.class) {
 		return
 	}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -231,6 +231,7 @@
 	m.Gauge("geraniumdock_slots_used", func() float64 { return float64(s.station.Load().Running) })
 	m.Gauge("geraniumdock_server_limit", s.station.Limit)
 	m.Gauge("geraniumdock_server_requests", func() float64 { return float64(s.station.Sent()) })
+	m.Gauge("geraniumdock_workspaces_over_share", func() float64 { return float64(s.station.WorkspacesOver()) })
 	m.Gauge("geraniumdock_waiting", func() float64 { return float64(s.station.Load().Waiting) })
 }
 
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -152,7 +152,7 @@
 
 // queueItem returns the queue's description of a request.
 func queueItem(now time.Duration, r request.Request) admission.Item {
-	return admission.Item{Class: r.Class, Priority: r.Priority, Objective: now + r.Objective, Deadline: now + r.Remaining}
+	return admission.Item{Class: r.Class, Workspace: r.Workspace, Priority: r.Priority, RoutePriority: r.RoutePriority, Objective: now + r.Objective, Deadline: now + r.Remaining}
 }
 
 // errorText returns the message of err, "" for nil.
@@ -168,8 +168,12 @@
 		return // the node that sent the request logs it and tries another node
 	}
 	load := s.Load()
-	s.cfg.Log.Info(event.RequestRefused, "id", r.ID, "kind", gd.KindOf(err).String(), "error", errorText(err),
-		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "limit-wait", load.LimitWait.String(), "left", r.Remaining.String())
+	fields := []any{"id", r.ID, "kind", gd.KindOf(err).String(), "error", errorText(err),
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "limit-wait", load.LimitWait.String(), "left", r.Remaining.String()}
+	if r.Workspace != "" {
+		fields = append(fields, "workspace", r.Workspace)
+	}
+	s.cfg.Log.Info(event.RequestRefused, fields...)
 }
 
 func (s *Station) instance() string {
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -332,6 +332,14 @@
 	}
 }
 
+// WorkspacesOver returns the number of workspaces that have recently used more than the
+// average slot time, while requests wait.
+func (s *Station) WorkspacesOver() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.WorkspacesOver(s.now())
+}
+
 // Active returns the number of queued and running requests.
 func (s *Station) Active() int {
 	s.mu.Lock()
