--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -47,7 +47,7 @@
 	Objective     time.Duration // a response after this has little value
 	Deadline      time.Duration // a response after this has no value
 
-	rank float64 // slot time of the workspace, see setRanks
+	rank int // step of the slot time of the workspace, see setRanks
 }
 
 // Queue is the queue of one server. It is not safe for concurrent use. Use New to
@@ -132,7 +132,7 @@
 	case now+wait+slotTime > it.Deadline:
 		refusal.Kind = gd.DeadlineUnreachable
 		return refusal, false
-	case q.isWaitAcceptable(now, wait, it):
+	case q.isWaitAcceptable(now, wait, it), q.mayWaitLonger(now, wait, it):
 	case q.meetsObjective(now, it):
 		q.overloadedUntil = now + overloadDuration
 		return refusal, false
@@ -375,7 +375,7 @@
 // objective because items of others have come before it. It is then refused at once,
 // as its caller has more time for another attempt.
 func (q *Queue) isDisplaced(now, wait time.Duration, it Item) bool {
-	return it.Workspace != "" && !q.meetsObjective(now+wait, it) && q.shares.rank(now, it.Workspace) > q.shares.average(now)
+	return !q.meetsObjective(now+wait, it) && q.isOver(now, it.Workspace)
 }
 
 // Clear removes and returns all waiting items.
--- a/internal/call/admission/fair.go
+++ b/internal/call/admission/fair.go
@@ -12,6 +12,12 @@
 	// minServedRatio is the fraction of its requests that a workspace gets served at
 	// least, relative to that of all. The requirement is a quarter.
 	minServedRatio = 0.35
+	// Slot times are compared in steps of stepRatio, from freeSlotTimes mean slot times or
+	// half of the average of the workspaces. Within a step the objective decides: if every
+	// difference counted, requests with a short objective would wait for those with a long
+	// one of any workspace that happens to have used a little less.
+	freeSlotTimes = 4
+	stepRatio     = 1.5
 	// minUsage is the slot time in seconds below which a workspace is forgotten if the
 	// space is needed for another one.
 	minUsage = 1e-3
@@ -121,19 +127,53 @@
 // average returns the mean slot time in seconds of the workspaces that have used slots
 // recently.
 func (s *shares) average(now time.Duration) float64 {
-	active, sum := 0, 0.0
+	active, sum := 0, time.Duration(0) // an integer, because the rounding of a sum depends on its order
 	for _, u := range s.workspaces {
 		if u.decay(now); u.slotTime >= minUsage {
 			active++
-			sum += u.slotTime
+			sum += time.Duration(u.slotTime * float64(time.Second))
 		}
 	}
-	return sum / float64(max(active, 1))
+	return (sum / time.Duration(max(active, 1))).Seconds()
+}
+
+// step returns the step of a slot time in seconds, 0 if it is at most free.
+func step(slotTime, free float64) int {
+	if slotTime <= free {
+		return 0
+	}
+	return 1 + int(math.Log(slotTime/free)/math.Log(stepRatio))
+}
+
+// free returns the slot time in seconds up to which the use of the slots does not count.
+func (q *Queue) free(now time.Duration) float64 {
+	return max(freeSlotTimes*q.typicalSlotTime().Seconds(), q.shares.average(now)/2)
+}
+
+// isOver reports whether the workspace is over its share of the slot time.
+func (q *Queue) isOver(now time.Duration, workspace string) bool {
+	return workspace != "" && q.shares.rank(now, workspace) > max(q.free(now), q.shares.average(now))
+}
+
+// mayWaitLonger reports whether an item whose workspace is not over its share may wait as
+// long as it meets its objective, because a workspace that is over its share has slots.
+// With the usual limit on waits such items would be refused while that one is served.
+func (q *Queue) mayWaitLonger(now, wait time.Duration, it Item) bool {
+	if it.Workspace == "" || !q.meetsObjective(now+wait, it) || q.isOver(now, it.Workspace) {
+		return false
+	}
+	for _, r := range q.running {
+		if q.isOver(now, r.workspace) {
+			return true
+		}
+	}
+	return false
 }
 
 // setRanks sets the rank of each of the items by the recent slot time of its workspace and
 // the expected slot time of those of its items that precede it. Items of a workspace thus
 // alternate with those of others, as if each were charged before the next is ordered.
+// Without overload all ranks are 0.
 func (q *Queue) setRanks(now time.Duration, items []Item) {
 	if !slices.ContainsFunc(items, func(it Item) bool { return it.Workspace != "" }) {
 		return
@@ -141,8 +181,11 @@
 	for i := range items {
 		items[i].rank = 0
 	}
+	if now >= q.overloadedUntil {
+		return
+	}
 	q.sort(now, items) // by all but the workspaces
-	next := map[string]float64{}
+	next, free := map[string]float64{}, q.free(now)
 	for i := range items {
 		it := &items[i]
 		if it.Workspace == "" {
@@ -151,7 +194,7 @@
 		if _, ok := next[it.Workspace]; !ok {
 			next[it.Workspace] = q.shares.rank(now, it.Workspace)
 		}
-		it.rank = next[it.Workspace]
+		it.rank = step(next[it.Workspace], free)
 		next[it.Workspace] += q.slotTime(it.Class).Seconds()
 	}
 }
@@ -162,9 +205,9 @@
 	if len(q.waiting) == 0 {
 		return 0
 	}
-	n, average := 0, q.shares.average(now)
+	n, limit := 0, max(q.free(now), q.shares.average(now))
 	for name := range q.shares.workspaces {
-		if q.shares.rank(now, name) > average {
+		if q.shares.rank(now, name) > limit {
 			n++
 		}
 	}
