--- a/internal/load/emulator/experiment.go
+++ b/internal/load/emulator/experiment.go
@@ -61,6 +61,7 @@
 	Attempts    int     // maximum number of servers that one request may reach
 	Idempotent  bool
 	Calls       []Call
+	Workspaces  []float64 // relative numbers of requests by workspace; empty if requests have none
 }
 
 // Call describes requests of the given class that a server may send while it runs
@@ -74,12 +75,13 @@
 
 // Event changes the load or the servers for a limited time.
 type Event struct {
-	Kind    string // one of eventKinds
-	At, For time.Duration
-	Factor  float64       // factor on the load or the work; for Fail, the fraction of requests that fail; for Limit, requests per second
-	Service string        // empty for all
-	Share   float64       // fraction of the servers that are affected
-	Period  time.Duration // for Wave
+	Kind      string // one of eventKinds
+	At, For   time.Duration
+	Factor    float64       // factor on the load or the work; for Fail, the fraction of requests that fail; for Limit, requests per second
+	Service   string        // empty for all
+	Share     float64       // fraction of the servers that are affected
+	Period    time.Duration // for Wave
+	Workspace int           // for Burst: number of the workspace whose requests it multiplies, from 1; 0 for all
 }
 
 // Sweep varies one parameter of the experiment. There is one run for each value.
@@ -141,31 +143,33 @@
 }
 
 type wireClass struct {
-	Name        string  `yaml:"name"`
-	Service     string  `yaml:"service"`
-	PerSecond   float64 `yaml:"per-second"`
-	Work        string  `yaml:"work"`
-	Spread      float64 `yaml:"spread"`
-	Objective   string  `yaml:"objective"`
-	Deadline    string  `yaml:"deadline"`
-	Priority    int     `yaml:"priority"`
-	Worth       float64 `yaml:"worth"`
-	LateWorth   float64 `yaml:"late-worth"`
-	Repeats     int     `yaml:"retries"`
-	RefusedOnly bool    `yaml:"repeats-refused-only"`
-	Attempts    int     `yaml:"attempts"`
-	Idempotent  bool    `yaml:"idempotent"`
-	Calls       []Call  `yaml:"calls"`
+	Name        string    `yaml:"name"`
+	Service     string    `yaml:"service"`
+	PerSecond   float64   `yaml:"per-second"`
+	Work        string    `yaml:"work"`
+	Spread      float64   `yaml:"spread"`
+	Objective   string    `yaml:"objective"`
+	Deadline    string    `yaml:"deadline"`
+	Priority    int       `yaml:"priority"`
+	Worth       float64   `yaml:"worth"`
+	LateWorth   float64   `yaml:"late-worth"`
+	Repeats     int       `yaml:"retries"`
+	RefusedOnly bool      `yaml:"repeats-refused-only"`
+	Attempts    int       `yaml:"attempts"`
+	Idempotent  bool      `yaml:"idempotent"`
+	Calls       []Call    `yaml:"calls"`
+	Workspaces  []float64 `yaml:"workspaces"`
 }
 
 type wireEvent struct {
-	Kind    string  `yaml:"kind"`
-	At      string  `yaml:"at"`
-	For     string  `yaml:"for"`
-	Factor  float64 `yaml:"factor"`
-	Service string  `yaml:"service"`
-	Share   float64 `yaml:"share"`
-	Period  string  `yaml:"period"`
+	Kind      string  `yaml:"kind"`
+	At        string  `yaml:"at"`
+	For       string  `yaml:"for"`
+	Factor    float64 `yaml:"factor"`
+	Service   string  `yaml:"service"`
+	Share     float64 `yaml:"share"`
+	Period    string  `yaml:"period"`
+	Workspace int     `yaml:"workspace"`
 }
 
 // Parse decodes an experiment from YAML. Errors name the file and the key, or the
@@ -189,13 +193,13 @@
 		x.Classes = append(x.Classes, Class{
 			Name: c.Name, Service: c.Service, PerSecond: c.PerSecond, Work: p.duration(key("work"), c.Work), Spread: c.Spread,
 			Objective: p.duration(key("objective"), c.Objective), Deadline: p.duration(key("deadline"), c.Deadline),
-			Priority: c.Priority, Worth: c.Worth, LateWorth: c.LateWorth, Repeats: c.Repeats, RefusedOnly: c.RefusedOnly, Attempts: cmp.Or(c.Attempts, defaultAttempts), Idempotent: c.Idempotent, Calls: c.Calls,
+			Priority: c.Priority, Worth: c.Worth, LateWorth: c.LateWorth, Repeats: c.Repeats, RefusedOnly: c.RefusedOnly, Attempts: cmp.Or(c.Attempts, defaultAttempts), Idempotent: c.Idempotent, Calls: c.Calls, Workspaces: c.Workspaces,
 		})
 	}
 	for i, e := range w.Events {
 		x.Events = append(x.Events, Event{
 			Kind: e.Kind, At: p.duration(fmt.Sprintf("events[%d].at", i), e.At), For: p.duration(fmt.Sprintf("events[%d].for", i), e.For),
-			Factor: e.Factor, Service: e.Service, Share: e.Share, Period: p.duration(fmt.Sprintf("events[%d].period", i), e.Period),
+			Factor: e.Factor, Service: e.Service, Share: e.Share, Period: p.duration(fmt.Sprintf("events[%d].period", i), e.Period), Workspace: e.Workspace,
 		})
 	}
 	if p.err != nil {
--- a/internal/load/emulator/node.go
+++ b/internal/load/emulator/node.go
@@ -35,7 +35,7 @@
 		return
 	}
 	item := admission.Item{
-		ID: a.id, Class: r.class.Name, Priority: r.class.Priority,
+		ID: a.id, Class: r.class.Name, Workspace: r.workspaceName(), Priority: r.class.Priority, RoutePriority: r.class.Priority,
 		Objective: r.firstSent + r.class.Objective, Deadline: r.deadline,
 	}
 	if refusal, ok := n.queue.Offer(sim.now, item, mayWait); !ok {
--- a/internal/load/emulator/result.go
+++ b/internal/load/emulator/result.go
@@ -11,6 +11,7 @@
 	Seconds     []Second                   // clients' requests by the second in which they were sent
 	Starts      map[string][]time.Duration // by node: when its server got requests
 	Services    map[string]*Servers
+	Workspaces  map[int]*Served // by number, of requests that were sent during a burst of a single workspace
 	classNames  []string
 	classByName map[string]Class
 }
@@ -26,6 +27,12 @@
 	Times    []time.Duration // latencies of the served requests
 }
 
+// Served counts requests and those that got a successful response.
+type Served struct{ Requests, Served int }
+
+// Ratio returns the fraction of the requests that were served.
+func (s Served) Ratio() float64 { return share(s.Served, s.Requests) }
+
 // Servers holds what the servers of one service did.
 type Servers struct {
 	Runs   int                      // requests that ended on a server, including those that it shed
@@ -52,7 +59,7 @@
 }
 
 func newResult(experiment Experiment) *Result {
-	r := &Result{Services: map[string]*Servers{}, Classes: map[string]*Outcome{}, Starts: map[string][]time.Duration{}, classByName: map[string]Class{}, Seconds: make([]Second, int(experiment.Duration/time.Second)+1)}
+	r := &Result{Services: map[string]*Servers{}, Workspaces: map[int]*Served{}, Classes: map[string]*Outcome{}, Starts: map[string][]time.Duration{}, classByName: map[string]Class{}, Seconds: make([]Second, int(experiment.Duration/time.Second)+1)}
 	for _, s := range experiment.Services {
 		r.Services[s.Name] = &Servers{Busy: map[string]time.Duration{}, count: s.Servers}
 	}
@@ -90,6 +97,18 @@
 	s.Busy[node] += took
 }
 
+func (r *Result) addWorkspace(number int, ok bool) {
+	s, found := r.Workspaces[number]
+	if !found {
+		s = &Served{}
+		r.Workspaces[number] = s
+	}
+	s.Requests++
+	if ok {
+		s.Served++
+	}
+}
+
 func (r *Result) addRetry(class string) { r.Classes[class].Retries++ }
 
 func (r *Result) addRefusal(class string) { r.Classes[class].Refused++ }
--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -64,6 +64,7 @@
 type request struct {
 	class        *Class
 	identity     quarantine.Fingerprint
+	workspace    int // number of the client's workspace, from 1; 0 if it has none
 	ingress      *node
 	firstSent    time.Duration // time at which the request was first sent
 	deadline     time.Duration
@@ -143,7 +144,7 @@
 // scheduleArrival schedules the next request of a class, which in turn schedules
 // the one after it.
 func (sim *simulator) scheduleArrival(c *Class) {
-	rate := c.PerSecond * sim.eventFactor(Burst, "") * sim.waveFactor()
+	rate := c.PerSecond * sim.eventFactor(Burst, "") * sim.waveFactor() * sum(sim.workspaceShares(c))
 	gap := time.Duration(sim.rng.ExpFloat64() / rate * float64(time.Second))
 	sim.after(gap, func() {
 		if sim.now >= sim.experiment.Duration {
@@ -151,7 +152,14 @@
 		}
 		sim.result.addRequest(c.Name, sim.now)
 		r := &request{class: c, ingress: sim.nodes[sim.rng.IntN(len(sim.nodes))], firstSent: sim.now, deadline: sim.now + c.Deadline}
-		r.done = func(ok bool) { sim.result.addOutcome(c.Name, r.firstSent, sim.now, ok) }
+		r.workspace = sim.drawWorkspace(sim.workspaceShares(c))
+		isOverload := r.workspace > 0 && slices.ContainsFunc(sim.experiment.Events, sim.isWorkspaceBurst)
+		r.done = func(ok bool) {
+			sim.result.addOutcome(c.Name, r.firstSent, sim.now, ok)
+			if isOverload {
+				sim.result.addWorkspace(r.workspace, ok)
+			}
+		}
 		sim.dispatch(r)
 		sim.scheduleArrival(c)
 	})
@@ -162,7 +170,7 @@
 func (sim *simulator) eventFactor(kind, service string) float64 {
 	f := 1.0
 	for _, e := range sim.experiment.Events {
-		if e.Kind == kind && (e.Service == "" || e.Service == service) && sim.now >= e.At && sim.now < e.At+e.For {
+		if e.Kind == kind && e.Workspace == 0 && (e.Service == "" || e.Service == service) && sim.now >= e.At && sim.now < e.At+e.For {
 			f *= e.Factor
 		}
 	}
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -2,6 +2,7 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -38,12 +39,45 @@
 			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.2f\t\n", r.Name, name, s.Runs, s.Failed, s.Busiest())
 		}
 	}
+	writeWorkspaces(t, runs)
 	if err := t.Flush(); err != nil {
 		return gd.Unavailable.Wrapf(err, "table")
 	}
 	return nil
 }
 
+// writeWorkspaces writes how many requests were served during bursts of single workspaces:
+// those of the workspaces with the most requests, of all others and of the one of these
+// that was served least.
+func writeWorkspaces(w io.Writer, runs []Run) {
+	fmt.Fprintln(w, "\nrun\tworkspace\tasked\tserved\t")
+	for _, r := range runs {
+		all := r.Result.Workspaces
+		numbers := slices.SortedFunc(maps.Keys(all), func(a, b int) int {
+			return cmp.Or(cmp.Compare(all[b].Requests, all[a].Requests), cmp.Compare(a, b))
+		})
+		others, least := emulator.Served{}, emulator.Served{}
+		for i, n := range numbers {
+			s := *all[n]
+			if i < mostAsked {
+				fmt.Fprintf(w, "%s\t%d\t%d\t%.3f\t\n", r.Name, n, s.Requests, s.Ratio())
+				continue
+			}
+			others.Requests, others.Served = others.Requests+s.Requests, others.Served+s.Served
+			if s.Ratio() < least.Ratio() {
+				least = s
+			}
+		}
+		if len(numbers) > mostAsked {
+			fmt.Fprintf(w, "%s\tothers\t%d\t%.3f\t\n", r.Name, others.Requests, others.Ratio())
+			fmt.Fprintf(w, "%s\tleast of them\t%d\t%.3f\t\n", r.Name, least.Requests, least.Ratio())
+		}
+	}
+}
+
+// mostAsked is the number of workspaces that get a line each.
+const mostAsked = 4
+
 // precision is the rounding unit of the times in a table.
 const precision = 100_000 // nanoseconds
 
