--- a/internal/load/emulator/experiment.go
+++ b/internal/load/emulator/experiment.go
@@ -32,6 +32,7 @@
 	RepeatSlack     float64 // retries allowed in a window in addition to the ratio
 	RerunShare      float64 // fraction of the retries that may be of requests that have run
 	FirstShare      float64 // fraction of the retries that may be of requests that their clients have not repeated
+	OnceShare       float64 // the same for requests whose callers do not repeat them; at least FirstShare
 	Sweep           Sweep
 }
 
@@ -45,36 +46,42 @@
 
 // Class describes requests of one kind.
 type Class struct {
-	Name       string
-	Service    string
-	PerSecond  float64
-	Work       time.Duration // mean time that a request holds a slot
-	Spread     float64       // standard deviation of the logarithm of that time
-	Objective  time.Duration
-	Deadline   time.Duration
-	Priority   int
-	Worth      float64 // value of a response within the objective
-	LateWorth  float64 // value of a later response, as a fraction of Worth
-	Repeats    int     // maximum number of repeats by the client
-	Attempts   int     // maximum number of servers that one request may reach
-	Idempotent bool
-	Calls      []Call
+	Name        string
+	Service     string
+	PerSecond   float64
+	Work        time.Duration // mean time that a request holds a slot
+	Spread      float64       // standard deviation of the logarithm of that time
+	Objective   time.Duration
+	Deadline    time.Duration
+	Priority    int
+	Worth       float64 // value of a response within the objective
+	LateWorth   float64 // value of a later response, as a fraction of Worth
+	Repeats     int     // maximum number of repeats by the client
+	RefusedOnly bool    // the client repeats requests that were refused, but none that failed
+	Attempts    int     // maximum number of servers that one request may reach
+	Idempotent  bool
+	Calls       []Call
+	Workspaces  []float64 // relative numbers of requests by workspace; empty if requests have none
 }
 
-// Call describes a request of the given class that a server may send while it runs
-// a request of another class. Share is the probability that it does.
+// Call describes requests of the given class that a server may send while it runs
+// a request of another class. Share is the probability that it does, and Count how
+// many it sends at a time, one if it is 0.
 type Call struct {
 	Class string  `yaml:"class"`
 	Share float64 `yaml:"share"`
+	Count int     `yaml:"count"`
 }
 
 // Event changes the load or the servers for a limited time.
 type Event struct {
-	Kind    string // one of eventKinds
-	At, For time.Duration
-	Factor  float64 // factor on the load or the work; for Fail, the fraction of requests that fail; for Limit, requests per second
-	Service string  // empty for all
-	Share   float64 // fraction of the servers that are affected
+	Kind      string // one of eventKinds
+	At, For   time.Duration
+	Factor    float64       // factor on the load or the work; for Fail, the fraction of requests that fail; for Limit, requests per second
+	Service   string        // empty for all
+	Share     float64       // fraction of the servers that are affected
+	Period    time.Duration // for Wave
+	Workspace int           // for Burst: number of the workspace whose requests it multiplies, from 1; 0 for all
 }
 
 // Sweep varies one parameter of the experiment. There is one run for each value.
@@ -96,6 +103,7 @@
 // Kinds of events.
 const (
 	Burst = "burst" // multiplies the request rate of the clients
+	Wave  = "wave"  // varies that rate as a sine with the amplitude Factor, relative to the mean
 	Slow  = "slow"  // multiplies the work of requests
 	Fail  = "fail"  // fails a fraction of the requests
 	Shed  = "shed"  // makes servers refuse to run a fraction of the requests, though they have room
@@ -107,7 +115,7 @@
 	Unlisted = "unlisted"
 )
 
-var eventKinds = []string{Burst, Slow, Fail, Shed, Down, Dark, Limit, Unlisted}
+var eventKinds = []string{Burst, Wave, Slow, Fail, Shed, Down, Dark, Limit, Unlisted}
 
 type wireExperiment struct {
 	Seed            uint64        `yaml:"seed"`
@@ -123,6 +131,7 @@
 	RepeatSlack     float64       `yaml:"repeat-slack"`
 	RerunShare      float64       `yaml:"rerun-share"`
 	FirstShare      float64       `yaml:"first-share"`
+	OnceShare       float64       `yaml:"once-share"`
 	Sweep           Sweep         `yaml:"sweep"`
 }
 
@@ -134,29 +143,33 @@
 }
 
 type wireClass struct {
-	Name       string  `yaml:"name"`
-	Service    string  `yaml:"service"`
-	PerSecond  float64 `yaml:"per-second"`
-	Work       string  `yaml:"work"`
-	Spread     float64 `yaml:"spread"`
-	Objective  string  `yaml:"objective"`
-	Deadline   string  `yaml:"deadline"`
-	Priority   int     `yaml:"priority"`
-	Worth      float64 `yaml:"worth"`
-	LateWorth  float64 `yaml:"late-worth"`
-	Repeats    int     `yaml:"retries"`
-	Attempts   int     `yaml:"attempts"`
-	Idempotent bool    `yaml:"idempotent"`
-	Calls      []Call  `yaml:"calls"`
+	Name        string    `yaml:"name"`
+	Service     string    `yaml:"service"`
+	PerSecond   float64   `yaml:"per-second"`
+	Work        string    `yaml:"work"`
+	Spread      float64   `yaml:"spread"`
+	Objective   string    `yaml:"objective"`
+	Deadline    string    `yaml:"deadline"`
+	Priority    int       `yaml:"priority"`
+	Worth       float64   `yaml:"worth"`
+	LateWorth   float64   `yaml:"late-worth"`
+	Repeats     int       `yaml:"retries"`
+	RefusedOnly bool      `yaml:"repeats-refused-only"`
+	Attempts    int       `yaml:"attempts"`
+	Idempotent  bool      `yaml:"idempotent"`
+	Calls       []Call    `yaml:"calls"`
+	Workspaces  []float64 `yaml:"workspaces"`
 }
 
 type wireEvent struct {
-	Kind    string  `yaml:"kind"`
-	At      string  `yaml:"at"`
-	For     string  `yaml:"for"`
-	Factor  float64 `yaml:"factor"`
-	Service string  `yaml:"service"`
-	Share   float64 `yaml:"share"`
+	Kind      string  `yaml:"kind"`
+	At        string  `yaml:"at"`
+	For       string  `yaml:"for"`
+	Factor    float64 `yaml:"factor"`
+	Service   string  `yaml:"service"`
+	Share     float64 `yaml:"share"`
+	Period    string  `yaml:"period"`
+	Workspace int     `yaml:"workspace"`
 }
 
 // Parse decodes an experiment from YAML. Errors name the file and the key, or the
@@ -170,7 +183,7 @@
 	x := Experiment{
 		Seed: w.Seed, Duration: p.duration("duration", w.Duration), DataCentres: w.DataCentres,
 		DataCentreDelay: p.duration("between", w.DataCentreDelay), Placement: w.Placement, Admission: w.Admission,
-		RepeatRatio: w.RepeatRatio, RepeatSlack: w.RepeatSlack, RerunShare: w.RerunShare, FirstShare: w.FirstShare, Sweep: w.Sweep,
+		RepeatRatio: w.RepeatRatio, RepeatSlack: w.RepeatSlack, RerunShare: w.RerunShare, FirstShare: w.FirstShare, OnceShare: w.OnceShare, Sweep: w.Sweep,
 	}
 	for _, s := range w.Services {
 		x.Services = append(x.Services, Service(s))
@@ -180,13 +193,13 @@
 		x.Classes = append(x.Classes, Class{
 			Name: c.Name, Service: c.Service, PerSecond: c.PerSecond, Work: p.duration(key("work"), c.Work), Spread: c.Spread,
 			Objective: p.duration(key("objective"), c.Objective), Deadline: p.duration(key("deadline"), c.Deadline),
-			Priority: c.Priority, Worth: c.Worth, LateWorth: c.LateWorth, Repeats: c.Repeats, Attempts: cmp.Or(c.Attempts, defaultAttempts), Idempotent: c.Idempotent, Calls: c.Calls,
+			Priority: c.Priority, Worth: c.Worth, LateWorth: c.LateWorth, Repeats: c.Repeats, RefusedOnly: c.RefusedOnly, Attempts: cmp.Or(c.Attempts, defaultAttempts), Idempotent: c.Idempotent, Calls: c.Calls, Workspaces: c.Workspaces,
 		})
 	}
 	for i, e := range w.Events {
 		x.Events = append(x.Events, Event{
 			Kind: e.Kind, At: p.duration(fmt.Sprintf("events[%d].at", i), e.At), For: p.duration(fmt.Sprintf("events[%d].for", i), e.For),
-			Factor: e.Factor, Service: e.Service, Share: e.Share,
+			Factor: e.Factor, Service: e.Service, Share: e.Share, Period: p.duration(fmt.Sprintf("events[%d].period", i), e.Period), Workspace: e.Workspace,
 		})
 	}
 	if p.err != nil {
@@ -267,6 +280,9 @@
 		if !slices.Contains(eventKinds, e.Kind) {
 			return gd.Invalid.Errorf("key events[%d].kind: %q is not one of %s", i, e.Kind, strings.Join(eventKinds, ", "))
 		}
+		if e.Kind == Wave && (e.Period <= 0 || e.Factor < 0 || e.Factor >= 1) {
+			return gd.Invalid.Errorf("key events[%d]: a wave needs a period above 0 and a factor from 0 to below 1", i)
+		}
 	}
 	return nil
 }
--- a/internal/load/emulator/node.go
+++ b/internal/load/emulator/node.go
@@ -35,7 +35,7 @@
 		return
 	}
 	item := admission.Item{
-		ID: a.id, Class: r.class.Name, Priority: r.class.Priority,
+		ID: a.id, Class: r.class.Name, Workspace: r.workspaceName(), Priority: r.class.Priority, RoutePriority: r.class.Priority,
 		Objective: r.firstSent + r.class.Objective, Deadline: r.deadline,
 	}
 	if refusal, ok := n.queue.Offer(sim.now, item, mayWait); !ok {
@@ -133,6 +133,7 @@
 	sim := n.sim
 	delete(n.waiting, a.id)
 	n.running[a.id] = a
+	a.started = sim.now
 	sim.result.addStart(n.record.Node, sim.now)
 	c := a.r.class
 	work := time.Duration(float64(c.Work) * n.workFactor * math.Exp(c.Spread*sim.rng.NormFloat64()-c.Spread*c.Spread/2))
@@ -147,7 +148,7 @@
 	sim.after(work, func() { n.call(a, 0) })
 }
 
-// call makes the i-th call of a request with the probability that its class gives,
+// call makes the i-th calls of a request with the probability that its class gives,
 // then the calls after it, and finishes the request after the last one.
 func (n *node) call(a *attempt, i int) {
 	calls := a.r.class.Calls
@@ -160,14 +161,19 @@
 		return
 	}
 	c := n.sim.classes[calls[i].Class]
-	n.sim.result.addRequest(c.Name, n.sim.now)
-	r := &request{class: c, ingress: n, firstSent: n.sim.now, deadline: min(n.sim.now+c.Deadline, a.r.deadline), isServerCall: true}
-	r.done = func(ok bool) {
-		n.sim.result.addOutcome(c.Name, r.firstSent, n.sim.now, ok)
-		a.failed = a.failed || !ok
-		n.call(a, i+1)
+	pending := max(calls[i].Count, 1)
+	for range pending {
+		n.sim.result.addRequest(c.Name, n.sim.now)
+		r := &request{class: c, ingress: n, firstSent: n.sim.now, deadline: min(n.sim.now+c.Deadline, a.r.deadline), isServerCall: true}
+		r.done = func(ok bool) {
+			n.sim.result.addOutcome(c.Name, r.firstSent, n.sim.now, ok)
+			a.failed = a.failed || !ok
+			if pending--; pending == 0 {
+				n.call(a, i+1)
+			}
+		}
+		n.sim.dispatch(r)
 	}
-	n.sim.dispatch(r)
 }
 
 // finish frees the slot of a request and sends the response to the ingress.
@@ -178,6 +184,7 @@
 	}
 	delete(n.running, a.id)
 	isFailure := a.failed || a.shed
+	sim.result.addRun(n.record.Service, n.record.Node, sim.now-a.started, a.failed)
 	n.queue.Done(sim.now, a.id, !isFailure)
 	failed := 0.0
 	if isFailure {
@@ -215,16 +222,16 @@
 func (r *request) retryOrFail(n *node) {
 	sim, in := n.sim, r.ingress
 	isSafe := r.class.Idempotent || !r.ran
-	if isSafe && r.reached < r.class.Attempts && in.budget.Take(sim.now, r.class.Service, len(sim.nodes), budget.Retry{IsRerun: r.ran, IsRepeat: r.repeats > 0}) {
+	if isSafe && r.reached < r.class.Attempts && in.budget.Take(sim.now, r.class.Service, len(sim.nodes), budget.Retry{IsRerun: r.ran, IsRepeat: r.repeats > 0, IsOnce: !in.refused.CallersReturn(sim.now, r.class.Name)}) {
 		sim.result.addRetry(r.class.Name)
 		r.search.WasAsked(n.record.Node, false)
 		sim.offerNext(r)
 		return
 	}
 	if !r.ran {
-		sim.result.addRefusal(r.class.Name)
+		sim.addRefusal(r)
 	}
-	sim.repeatOrFail(r, clientBackoff, isSafe)
+	sim.repeatOrFail(r, clientBackoff, !r.ran || isSafe && !r.class.RefusedOnly)
 }
 
 // failureSmoothing is the weight of the newest outcome in the moving average of failures.
--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -11,6 +11,8 @@
 	"github.com/geraniumdock/geraniumdock/internal/call/admission"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
+	"github.com/geraniumdock/geraniumdock/internal/call/refusal"
+	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
 )
 
@@ -25,16 +27,17 @@
 
 // simulator holds the state of a run. All events run in one goroutine.
 type simulator struct {
-	experiment Experiment
-	rng        *rand.Rand
-	now        time.Duration
-	events     eventQueue
-	sequence   uint64
-	nodes      []*node
-	servers    map[string][]server.Record
-	classes    map[string]*Class
-	result     *Result
-	lastID     uint64
+	experiment  Experiment
+	rng         *rand.Rand
+	now         time.Duration
+	events      eventQueue
+	sequence    uint64
+	nodes       []*node
+	servers     map[string][]server.Record
+	classes     map[string]*Class
+	result      *Result
+	lastID      uint64
+	lastRequest uint64
 }
 
 // node is a VM: a sidecar, whose ingress sends requests to servers, and the server
@@ -46,6 +49,7 @@
 	workFactor     float64
 	estimates      *placement.Estimates
 	budget         *budget.Budget
+	refused        *refusal.Memory
 	queue          *admission.Queue
 	fifo           []uint64 // IDs of the waiting requests with AdmitFIFO
 	waiting        map[uint64]*attempt
@@ -59,6 +63,8 @@
 // request is a client's request or a call that a server makes.
 type request struct {
 	class        *Class
+	identity     quarantine.Fingerprint
+	workspace    int // number of the client's workspace, from 1; 0 if it has none
 	ingress      *node
 	firstSent    time.Duration // time at which the request was first sent
 	deadline     time.Duration
@@ -74,11 +80,12 @@
 
 // attempt is a request that waits or runs at one server.
 type attempt struct {
-	r      *request
-	target *node
-	id     uint64
-	failed bool
-	shed   bool // the server refused to run it
+	r       *request
+	target  *node
+	id      uint64
+	failed  bool
+	shed    bool          // the server refused to run it
+	started time.Duration // time at which it got a slot
 }
 
 // Run runs the experiment once and returns the outcomes.
@@ -115,8 +122,8 @@
 			}
 			n := &node{
 				sim: sim, service: s, workFactor: workFactor, queue: admission.New(s.Slots),
-				waiting: map[uint64]*attempt{}, running: map[uint64]*attempt{}, outstanding: map[string]int{},
-				budget: budget.New(budget.Limits{Window: retryBudgetWindow, Ratio: sim.experiment.RepeatRatio, Slack: sim.experiment.RepeatSlack, RerunShare: sim.experiment.RerunShare, FirstShare: sim.experiment.FirstShare}),
+				waiting: map[uint64]*attempt{}, running: map[uint64]*attempt{}, outstanding: map[string]int{}, refused: refusal.New(),
+				budget: budget.New(budget.Limits{Window: retryBudgetWindow, Ratio: sim.experiment.RepeatRatio, Slack: sim.experiment.RepeatSlack, RerunShare: sim.experiment.RerunShare, FirstShare: sim.experiment.FirstShare, OnceShare: sim.experiment.OnceShare}),
 			}
 			n.record = server.Record{
 				Node: fmt.Sprintf("%s-%d", s.Name, k), Service: s.Name, Slots: s.Slots,
@@ -137,7 +144,7 @@
 // scheduleArrival schedules the next request of a class, which in turn schedules
 // the one after it.
 func (sim *simulator) scheduleArrival(c *Class) {
-	rate := c.PerSecond * sim.eventFactor(Burst, "")
+	rate := c.PerSecond * sim.eventFactor(Burst, "") * sim.waveFactor() * sum(sim.workspaceShares(c))
 	gap := time.Duration(sim.rng.ExpFloat64() / rate * float64(time.Second))
 	sim.after(gap, func() {
 		if sim.now >= sim.experiment.Duration {
@@ -145,7 +152,14 @@
 		}
 		sim.result.addRequest(c.Name, sim.now)
 		r := &request{class: c, ingress: sim.nodes[sim.rng.IntN(len(sim.nodes))], firstSent: sim.now, deadline: sim.now + c.Deadline}
-		r.done = func(ok bool) { sim.result.addOutcome(c.Name, r.firstSent, sim.now, ok) }
+		r.workspace = sim.drawWorkspace(sim.workspaceShares(c))
+		isOverload := r.workspace > 0 && slices.ContainsFunc(sim.experiment.Events, sim.isWorkspaceBurst)
+		r.done = func(ok bool) {
+			sim.result.addOutcome(c.Name, r.firstSent, sim.now, ok)
+			if isOverload {
+				sim.result.addWorkspace(r.workspace, ok)
+			}
+		}
 		sim.dispatch(r)
 		sim.scheduleArrival(c)
 	})
@@ -156,13 +170,24 @@
 func (sim *simulator) eventFactor(kind, service string) float64 {
 	f := 1.0
 	for _, e := range sim.experiment.Events {
-		if e.Kind == kind && (e.Service == "" || e.Service == service) && sim.now >= e.At && sim.now < e.At+e.For {
+		if e.Kind == kind && e.Workspace == 0 && (e.Service == "" || e.Service == service) && sim.now >= e.At && sim.now < e.At+e.For {
 			f *= e.Factor
 		}
 	}
 	return f
 }
 
+// waveFactor returns the product of the factors of all active waves.
+func (sim *simulator) waveFactor() float64 {
+	f := 1.0
+	for _, e := range sim.experiment.Events {
+		if e.Kind == Wave && sim.now >= e.At && sim.now < e.At+e.For {
+			f *= 1 + e.Factor*math.Sin(2*math.Pi*float64(sim.now-e.At)/float64(e.Period))
+		}
+	}
+	return f
+}
+
 // faultFactor returns the factor of the active event of a kind that affects the
 // node, or 0 if there is none.
 func (n *node) faultFactor(kind string) float64 {
@@ -181,8 +206,13 @@
 // dispatch starts a new search for a node that takes the request, as the ingress
 // does.
 func (sim *simulator) dispatch(r *request) {
+	if r.identity == 0 {
+		sim.lastRequest++
+		r.identity = quarantine.Fingerprint(sim.lastRequest)
+	}
 	in := r.ingress
 	in.budget.AddRequest(sim.now, r.class.Service)
+	in.refused.Take(sim.now, r.identity)
 	r.search, r.reached, r.ran = placement.NewSearch(sim.now, r.firstSent+r.class.Objective, r.deadline), 0, false
 	sim.offerNext(r)
 }
@@ -240,10 +270,16 @@
 // clientRefused handles a request that no node accepted: the client repeats
 // it or gives up.
 func (sim *simulator) clientRefused(r *request) {
-	sim.result.addRefusal(r.class.Name)
+	sim.addRefusal(r)
 	sim.repeatOrFail(r, max(r.retryAfter, clientBackoff), true)
 }
 
+// addRefusal records that the client gets a refusal.
+func (sim *simulator) addRefusal(r *request) {
+	sim.result.addRefusal(r.class.Name)
+	r.ingress.refused.Add(sim.now, r.identity, refusal.Failure{Route: r.class.Name, FirstSeen: r.firstSent, Deadline: r.deadline, MayReturn: r.repeats == 0})
+}
+
 func (sim *simulator) repeatOrFail(r *request, pause time.Duration, mayRepeat bool) {
 	pause = min(pause, (r.deadline-sim.now)/3)
 	if r.isServerCall || !mayRepeat || r.repeats >= r.class.Repeats || pause <= 0 {
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -2,8 +2,11 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/wcharczuk/go-chart/v2"
@@ -18,23 +21,63 @@
 	Result *emulator.Result
 }
 
-// Table writes a text table with a line for each class of each run.
+// Table writes a text table with a line for each class and each service of each run.
 func Table(w io.Writer, runs []Run) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "run\tclass\tasked\tin objective\tlate\tunserved\trefusals\tp50\tp99\tworth\t")
+	fmt.Fprintln(t, "run\tclass\tasked\tin objective\tlate\tunserved\tretries\trefusals\tp50\tp99\tworth\t")
 	for _, r := range runs {
 		for _, name := range r.Result.ClassNames() {
 			o := r.Result.Classes[name]
-			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%s\t%s\t%.3f\t\n", r.Name, name, o.Requests, o.InObjective(), o.Late,
-				o.Unserved, o.Refused, o.Percentile(0.5).Round(precision), o.Percentile(0.99).Round(precision), r.Result.Worth())
+			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%s\t%s\t%.3f\t\n", r.Name, name, o.Requests, o.InObjective(), o.Late,
+				o.Unserved, o.Retries, o.Refused, o.Percentile(0.5).Round(precision), o.Percentile(0.99).Round(precision), r.Result.Worth())
 		}
 	}
+	fmt.Fprintln(t, "\nrun\tservice\truns\tfailed\tbusiest/mean\t")
+	for _, r := range runs {
+		for _, name := range slices.Sorted(maps.Keys(r.Result.Services)) {
+			s := r.Result.Services[name]
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.2f\t\n", r.Name, name, s.Runs, s.Failed, s.Busiest())
+		}
+	}
+	writeWorkspaces(t, runs)
 	if err := t.Flush(); err != nil {
 		return gd.Unavailable.Wrapf(err, "table")
 	}
 	return nil
 }
 
+// writeWorkspaces writes how many requests were served during bursts of single workspaces:
+// those of the workspaces with the most requests, of all others and of the one of these
+// that was served least.
+func writeWorkspaces(w io.Writer, runs []Run) {
+	fmt.Fprintln(w, "\nrun\tworkspace\tasked\tserved\t")
+	for _, r := range runs {
+		all := r.Result.Workspaces
+		numbers := slices.SortedFunc(maps.Keys(all), func(a, b int) int {
+			return cmp.Or(cmp.Compare(all[b].Requests, all[a].Requests), cmp.Compare(a, b))
+		})
+		others, least := emulator.Served{}, emulator.Served{}
+		for i, n := range numbers {
+			s := *all[n]
+			if i < mostAsked {
+				fmt.Fprintf(w, "%s\t%d\t%d\t%.3f\t\n", r.Name, n, s.Requests, s.Ratio())
+				continue
+			}
+			others.Requests, others.Served = others.Requests+s.Requests, others.Served+s.Served
+			if s.Ratio() < least.Ratio() {
+				least = s
+			}
+		}
+		if len(numbers) > mostAsked {
+			fmt.Fprintf(w, "%s\tothers\t%d\t%.3f\t\n", r.Name, others.Requests, others.Ratio())
+			fmt.Fprintf(w, "%s\tleast of them\t%d\t%.3f\t\n", r.Name, least.Requests, least.Ratio())
+		}
+	}
+}
+
+// mostAsked is the number of workspaces that get a line each.
+const mostAsked = 4
+
 // precision is the rounding unit of the times in a table.
 const precision = 100_000 // nanoseconds
 
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -256,7 +256,8 @@
 	}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if !s.g.budget.Take(now, s.service, s.snapshot.Nodes(now), budget.Retry{IsRerun: s.ran, IsRepeat: s.isRepeat}) {
+	s.isOnce = !s.g.refused.CallersReturn(now, s.route.Name)
+	if !s.g.budget.Take(now, s.service, s.snapshot.Nodes(now), budget.Retry{IsRerun: s.ran, IsRepeat: s.isRepeat, IsOnce: s.isOnce}) {
 		return giveUpNoBudget
 	}
 	return ""
@@ -295,6 +296,8 @@
 		err = gd.Unknown.Wrapf(err, "a server may have run the request in an earlier attempt")
 	case !s.ran && !last.Reached && ctx.Err() != nil:
 		err = gd.DeadlineUnreachable.Wrapf(err, "no server accepted the request before its deadline")
+	case !s.ran && !last.Reached && gd.KindOf(err).Response().Outcome != gd.NotRun:
+		err = gd.NoServer.Wrapf(err, "the request has reached no server")
 	}
 	return s.errorResponse(err, last.RetryAfter)
 }
