--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -87,6 +87,8 @@
 	pause       time.Duration // pause after the last failed connection, 0 if the node is reachable
 	retryAt     time.Duration // end of the pause
 	incarnation uint64        // of the node when it was unreachable
+	outpacedAt  time.Duration // time of the last call of Outpaced
+	isOutpaced  bool          // Outpaced has been called
 }
 
 // New returns the estimates of the given node in dataCentre.
@@ -246,9 +248,9 @@
 }
 
 // isUnknown reports whether the server's speed is unknown: there is no recent load
-// report, and this node has no request in flight to it.
+// report or cancelled attempt, and this node has no request in flight to it.
 func (e *Estimates) isUnknown(now time.Duration, n *estimate) bool {
-	return n.inFlight == 0 && (!n.hasLoad || now-n.reportedAt > maxLoadAge)
+	return n.inFlight == 0 && (!n.hasLoad || now-n.reportedAt > maxLoadAge) && (!n.isOutpaced || now-n.outpacedAt > maxLoadAge)
 }
 
 // typicalSlotTime returns the average over the servers whose mean slot time is
--- a/internal/proxy/ingress/attempt.go
+++ b/internal/proxy/ingress/attempt.go
@@ -63,7 +63,7 @@
 		if !ok {
 			break
 		}
-		a := s.attempt(ctx, rec, mayWait)
+		a := s.attemptHedged(ctx, rec, mayWait)
 		if last.Response != nil {
 			last.Response.Body.Close()
 		}
@@ -93,25 +93,39 @@
 
 // attempt sends the request to the node of rec, and records and returns the result.
 func (s *requestState) attempt(ctx context.Context, rec server.Record, mayWait bool) request.Result {
-	g := s.g
+	r, err := s.prepare(rec, mayWait)
+	if err != nil {
+		return request.Failed(err, s.ran)
+	}
+	a := s.g.send(ctx, rec, r)
+	s.recordAttempt(ctx, rec, a)
+	return a
+}
+
+// prepare returns the request to send to the node of rec, and counts it in the estimates.
+func (s *requestState) prepare(rec server.Record, mayWait bool) (request.Request, error) {
 	r, err := s.request(mayWait)
 	if err != nil {
-		return request.Failed(gd.DeadlineUnreachable.Wrapf(err, "the body of the request is no longer available for a retry"), s.ran)
+		return r, gd.DeadlineUnreachable.Wrapf(err, "the body of the request is no longer available for a retry")
 	}
-	g.mu.Lock()
-	g.estimates.Sent(g.cfg.Clock.Monotonic(), rec.Node)
-	g.mu.Unlock()
+	r.Local = rec.Node == s.g.cfg.Node
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.g.estimates.Sent(s.g.cfg.Clock.Monotonic(), rec.Node)
+	return r, nil
+}
+
+// send sends r to the node of rec and returns the result with the start of the response body.
+func (g *Ingress) send(ctx context.Context, rec server.Record, r request.Request) request.Result {
 	var a request.Result
-	if rec.Node == g.cfg.Node {
-		r.Local = true
+	if r.Local {
 		a = g.cfg.Station.Do(ctx, r)
 	} else {
 		a = g.cfg.Peers.Do(ctx, rec.Address, r)
 	}
 	if a.Response != nil {
-		a = s.bufferStart(ctx, a)
+		a = bufferStart(ctx, a)
 	}
-	s.recordAttempt(ctx, rec, a)
 	return a
 }
 
@@ -139,7 +153,7 @@
 // bufferStart reads the start of the response body before the response is
 // forwarded. If the body is truncated within that part, the result becomes an
 // error.
-func (s *requestState) bufferStart(ctx context.Context, a request.Result) request.Result {
+func bufferStart(ctx context.Context, a request.Result) request.Result {
 	start, whole, err := body.ReadPrefix(a.Response)
 	switch {
 	case err != nil:
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -18,6 +18,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/hedge"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/internal/call/refusal"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
@@ -60,6 +61,7 @@
 	Station    Station
 	Verdict    func(...quarantine.Fingerprint) quarantine.Verdict
 	Limits     budget.Limits // bounds on retries over all nodes
+	Hedging    hedge.Limits
 	Clock      gd.Clock
 	Log        hclog.Logger
 	Random     *rand.Rand
@@ -74,8 +76,9 @@
 	Status     int
 	Route      string // "idempotent", "once", or "none" if no route matched
 	Took       time.Duration
-	NodesAsked int // nodes that were asked to run it
-	Reached    int // servers that may have received it
+	NodesAsked int    // nodes that were asked to run it
+	Reached    int    // servers that may have received it
+	Hedge      string // result of the second attempt, such as HedgeWon; "" if none was due
 }
 
 // Ingress handles the requests of callers. Use New to create one.
@@ -87,6 +90,7 @@
 	mu               sync.Mutex
 	estimates        *placement.Estimates
 	budget           *budget.Budget
+	hedges           *hedge.Hedges // nil if hedging is off
 	refused          *refusal.Memory
 	selector         *route.Selector
 	prunedGeneration uint64 // of the directory when the estimates were last pruned
@@ -98,6 +102,7 @@
 		cfg:       cfg,
 		estimates: placement.New(cfg.Node, cfg.DataCentre, cfg.Random),
 		budget:    budget.New(cfg.Limits),
+		hedges:    hedge.New(cfg.Hedging),
 		refused:   refusal.New(),
 		selector:  route.NewSelector(cfg.Random),
 	}
@@ -147,6 +152,7 @@
 	reached      int      // servers that may have received the request
 	ran          bool     // a server may have run the request
 	attempts     []string // result of each attempt, for the log
+	hedge        string   // as in Outcome
 	giveUpReason string   // why the request was not retried; "" if no retry was ruled out
 }
 
@@ -189,6 +195,9 @@
 	s.search = placement.NewSearch(s.began, s.objective, s.deadline)
 	s.service = s.g.selector.Select(rt)
 	s.g.budget.AddRequest(s.began, s.service)
+	if s.g.hedges != nil {
+		s.g.hedges.AddRequest(s.began)
+	}
 	return nil
 }
 
--- a/internal/proxy/ingress/outcome.go
+++ b/internal/proxy/ingress/outcome.go
@@ -82,7 +82,7 @@
 		s.remember()
 	}
 	now := s.g.cfg.Clock.Monotonic()
-	o := Outcome{Status: code, Route: s.routeKind(), Took: now - s.began, NodesAsked: s.search.Asked(), Reached: s.reached}
+	o := Outcome{Status: code, Route: s.routeKind(), Took: now - s.began, NodesAsked: s.search.Asked(), Reached: s.reached, Hedge: s.hedge}
 	if err != nil {
 		o.Failed, o.Kind = true, gd.KindOf(err)
 	}
@@ -98,6 +98,9 @@
 	if s.giveUpReason != "" {
 		fields = append(fields, "given-up", s.giveUpReason)
 	}
+	if s.hedge != "" {
+		fields = append(fields, "hedge", s.hedge)
+	}
 	if s.workspace != nil {
 		fields = append(fields, "workspace", s.workspace.Name)
 	}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/hedge"
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/seed"
@@ -125,6 +126,7 @@
 		Snapshot: s.roster.Snapshot, Peers: s.peerClient, Station: s.station,
 		Verdict:   s.verdict,
 		Limits:    retryBudget(st.Bounds),
+		Hedging:   hedge.Limits{MaxShare: st.Hedging.MaxShare, Percentile: st.Hedging.DelayPercentile()},
 		Clock:     cfg.Clock,
 		Log:       cfg.Log,
 		Random:    rand.New(rand.NewPCG(seed.ForNode(st.Node, cfg.Seed), 1)),
@@ -134,6 +136,7 @@
 			if o.Failed {
 				cfg.Meter.CountFailure(o.Kind)
 			}
+			countHedge(cfg.Meter, o.Hedge)
 		},
 	})
 	s.clientServer = listener.New(s.ingress, connectionLogger{cfg.Log}, s.limits, spoolBytes)
@@ -142,6 +145,16 @@
 	return s, nil
 }
 
+// countHedge counts the second attempt of a request by its result.
+func countHedge(m *meter.Meter, result string) {
+	switch result {
+	case ingress.HedgeWon, ingress.HedgeLost:
+		m.CountHedge(result == ingress.HedgeWon)
+	case ingress.HedgeOverLimit, ingress.HedgeOverloaded:
+		m.CountRefusedHedge(result)
+	}
+}
+
 // handleDeparture passes to the station what another process has learned about its
 // server, which drains or has left.
 func (s *Sidecar) handleDeparture(r server.Record) {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -50,7 +50,8 @@
 	LinkMbps    float64       // bandwidth of the VMs' network links
 	RepeatRatio float64       // retries allowed per request
 	RepeatSlack float64       // retries allowed in a window in addition to the ratio
-	NoPolicy    bool          // starts without a policy in the store
+	Hedging     settings.SidecarHedging
+	NoPolicy    bool // starts without a policy in the store
 	// AnnounceInterval is the time between two announcements of a server; 0 for only those that a
 	// test makes.
 	AnnounceInterval time.Duration
@@ -142,7 +143,7 @@
 		Listen: settings.SidecarListen{Clients: nodeLoopback, Peers: nodeLoopback, Ready: nodeLoopback, Announcements: nodeLoopback, Metrics: nodeLoopback},
 		Store:  settings.SidecarStore{Address: f.storeAddress},
 		Bounds: settings.SidecarBounds{RepeatRatio: &f.spec.RepeatRatio, RepeatSlack: &f.spec.RepeatSlack},
-		Log:    settings.Log{Level: "info"}, LinkMbps: f.spec.LinkMbps,
+		Log:    settings.Log{Level: "info"}, LinkMbps: f.spec.LinkMbps, Hedging: f.spec.Hedging,
 	}
 	interval := f.spec.AnnounceInterval.Seconds()
 	if interval == 0 {
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -77,6 +77,19 @@
 	m.set.GetOrCreateCounter(`geraniumdock_failures_total{kind="` + k.String() + `"}`).Inc()
 }
 
+// CountHedge counts a second attempt that was sent, and whether its response was delivered.
+func (m *Meter) CountHedge(won bool) {
+	m.set.GetOrCreateCounter("geraniumdock_hedges_total").Inc()
+	if won {
+		m.set.GetOrCreateCounter("geraniumdock_hedges_won_total").Inc()
+	}
+}
+
+// CountRefusedHedge counts a second attempt that was due and was not sent for the reason.
+func (m *Meter) CountRefusedHedge(reason string) {
+	m.set.GetOrCreateCounter(`geraniumdock_hedges_refused_total{reason="` + reason + `"}`).Inc()
+}
+
 // CountServerRequest counts a request that reached the backend server beside the node.
 func (m *Meter) CountServerRequest(status int, timing ServerTiming) {
 	m.transitDelay.Update(timing.TransitDelay.Seconds())
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -23,6 +23,7 @@
 	Listen     SidecarListen     `yaml:"listen"`
 	Store      SidecarStore      `yaml:"store"`
 	Bounds     SidecarBounds     `yaml:"bounds"`
+	Hedging    SidecarHedging    `yaml:"hedging"`
 	MemoryMB   int               `yaml:"memory-mb"` // memory limit of the process; not used
 	LinkMbps   float64           `yaml:"link-mbps"` // bandwidth of the VM's network link; 0 if unknown
 	Log        Log               `yaml:"log"`
@@ -200,6 +201,9 @@
 	case !isLogLevel(s.Log.Level):
 		return "log.level", fmt.Sprintf("%q is not debug, info, warn or error", s.Log.Level)
 	}
+	if key, text := s.Hedging.findInvalid(); key != "" {
+		return key, text
+	}
 	return s.Bounds.findInvalid()
 }
 
--- a/settings/sidecar_test.go
+++ b/settings/sidecar_test.go
@@ -35,6 +35,7 @@
   repeat-ratio: 0.2
   repeat-window-seconds: 10
   repeat-slack: 64
+hedging: {max-share: 0.02}
 memory-mb: 284
 `
 
@@ -48,6 +49,8 @@
 	is.Equal(window, 10*time.Second)
 	is.Equal(ratio, 0.2)
 	is.Equal(slack, 64.0)
+	is.Equal(s.Hedging.MaxShare, 0.02)
+	is.Equal(s.Hedging.DelayPercentile(), 0.95)
 	is.Equal(s.Store.History, 20*time.Second)
 	is.True(s.Log.JSON)
 }
@@ -59,7 +62,10 @@
 		`clients: "10.1.0.35:8141"`:   {`clients: "10.1.0.35"`, "local.yaml:10 key listen.clients"},
 		`service: "shop"`:             {`service: ""`, "local.yaml:7 key server.service"},
 		`drain-seconds: 2.5`:          {`drain-seconds: 0`, "local.yaml:21 key bounds.drain-seconds"},
-		`memory-mb: 284`:              {`memory-mb: -1`, "local.yaml:26 key memory-mb"},
+		`memory-mb: 284`:              {`memory-mb: -1`, "local.yaml:27 key memory-mb"},
+		`max-share: 0.02`:             {`max-share: 1.5`, "local.yaml:26 key hedging.max-share"},
+		`{max-share: 0.02}`:           {`{percentile: 99.5}`, "local.yaml:26 key hedging.percentile"},
+		`max-share: 0.02}`:            {`max-share: .nan}`, "local.yaml:26 key hedging.max-share"},
 		`history-seconds: 20`:         {`history-seconds: -20`, "local.yaml:19 key store.history-seconds"},
 		`writes-per-second: 400`:      {`writes-per-second: many`, "17"},
 		`memory-mb`:                   {`memory-gb`, "memory-gb"},
