--- a/internal/load/emulator/experiment.go
+++ b/internal/load/emulator/experiment.go
@@ -15,6 +15,7 @@
 	"github.com/goccy/go-yaml"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/hedge"
 )
 
 // Experiment describes the services, the load and the faults of a run.
@@ -32,6 +33,7 @@
 	RepeatSlack     float64 // retries allowed in a window in addition to the ratio
 	RerunShare      float64 // fraction of the retries that may be of requests that have run
 	FirstShare      float64 // fraction of the retries that may be of requests that their clients have not repeated
+	Hedging         hedge.Limits
 	Sweep           Sweep
 }
 
@@ -79,7 +81,7 @@
 
 // Sweep varies one parameter of the experiment. There is one run for each value.
 type Sweep struct {
-	Parameter string    `yaml:"parameter"` // load, slots or seed
+	Parameter string    `yaml:"parameter"` // load, slots, seed or max-share
 	Values    []float64 `yaml:"values"`
 }
 
@@ -105,9 +107,10 @@
 	// Unlisted makes the other nodes drop servers if Factor is above 0, as when the store
 	// is restored from an older copy that lacks their entries.
 	Unlisted = "unlisted"
+	Hang     = "hang" // makes servers not respond to a fraction of the requests until their deadline
 )
 
-var eventKinds = []string{Burst, Slow, Fail, Shed, Down, Dark, Limit, Unlisted}
+var eventKinds = []string{Burst, Slow, Fail, Shed, Down, Dark, Limit, Unlisted, Hang}
 
 type wireExperiment struct {
 	Seed            uint64        `yaml:"seed"`
@@ -123,9 +126,15 @@
 	RepeatSlack     float64       `yaml:"repeat-slack"`
 	RerunShare      float64       `yaml:"rerun-share"`
 	FirstShare      float64       `yaml:"first-share"`
+	Hedging         wireHedging   `yaml:"hedging"`
 	Sweep           Sweep         `yaml:"sweep"`
 }
 
+type wireHedging struct {
+	MaxShare   float64 `yaml:"max-share"`
+	Percentile float64 `yaml:"percentile"`
+}
+
 type wireService struct {
 	Name    string    `yaml:"name"`
 	Servers int       `yaml:"servers"`
@@ -171,6 +180,7 @@
 		Seed: w.Seed, Duration: p.duration("duration", w.Duration), DataCentres: w.DataCentres,
 		DataCentreDelay: p.duration("between", w.DataCentreDelay), Placement: w.Placement, Admission: w.Admission,
 		RepeatRatio: w.RepeatRatio, RepeatSlack: w.RepeatSlack, RerunShare: w.RerunShare, FirstShare: w.FirstShare, Sweep: w.Sweep,
+		Hedging: hedge.Limits{MaxShare: w.Hedging.MaxShare, Percentile: w.Hedging.Percentile / 100},
 	}
 	for _, s := range w.Services {
 		x.Services = append(x.Services, Service(s))
@@ -236,8 +246,10 @@
 		return gd.Invalid.Errorf("key placement: %q is not %s, %s or %s", x.Placement, PlaceEstimates, PlaceRoundRobin, PlaceLeastOutstanding)
 	case !slices.Contains([]string{AdmitOrdered, AdmitFIFO}, x.Admission):
 		return gd.Invalid.Errorf("key admission: %q is not %s or %s", x.Admission, AdmitOrdered, AdmitFIFO)
-	case !slices.Contains([]string{"", "load", "slots", "seed"}, x.Sweep.Parameter):
-		return gd.Invalid.Errorf("key sweep.parameter: %q is not load, slots or seed", x.Sweep.Parameter)
+	case x.Hedging.MaxShare < 0 || x.Hedging.Percentile < 0 || x.Hedging.Percentile > hedge.MaxPercentile:
+		return gd.Invalid.Errorf("key hedging: max-share must not be below 0, and percentile must be between 0 and %g", 100*hedge.MaxPercentile)
+	case !slices.Contains([]string{"", "load", "slots", "seed", "max-share"}, x.Sweep.Parameter):
+		return gd.Invalid.Errorf("key sweep.parameter: %q is not load, slots, seed or max-share", x.Sweep.Parameter)
 	}
 	services := map[string]bool{}
 	for i, s := range x.Services {
@@ -287,6 +299,8 @@
 		}
 	case "seed":
 		x.Seed = uint64(value)
+	case "max-share":
+		x.Hedging.MaxShare = value
 	}
 	return x
 }
--- a/internal/load/emulator/node.go
+++ b/internal/load/emulator/node.go
@@ -14,6 +14,10 @@
 // it. transitDelay is the one-way delay from n back to the ingress.
 func (n *node) offer(r *request, mayWait bool, transitDelay time.Duration) {
 	sim := n.sim
+	if r.settled { // by the other attempt
+		r.ingress.requestEnded(n)
+		return
+	}
 	sim.lastID++
 	a := &attempt{r: r, target: n, id: sim.lastID}
 	if n.faultFactor(Down) > 0 {
@@ -57,6 +61,14 @@
 		in.estimates.Unreachable(sim.now, n.record)
 	}
 	r.search.WasAsked(n.record.Node, full)
+	r.countAttempt(full && mayWait)
+	if r.attemptEnded(n) {
+		return
+	}
+	if r.race.hasFailed {
+		r.retryOrFail(n)
+		return
+	}
 	r.retryAfter = max(retryAfter, clientBackoff)
 	if sim.now >= r.deadline || r.search.Asked() >= maxNodesAsked {
 		sim.clientRefused(r)
@@ -80,6 +92,11 @@
 		return
 	}
 	in.estimates.Failed(n.sim.now, n.record.Node)
+	r.race.hasFailed = true
+	if r.attemptEnded(n) {
+		r.search.WasAsked(n.record.Node, false)
+		return
+	}
 	r.retryOrFail(n)
 }
 
@@ -143,6 +160,9 @@
 		sim.after(shedTime, func() { n.finish(a) })
 		return
 	}
+	if hang := n.faultFactor(Hang); hang > 0 && sim.rng.Float64() < hang {
+		return // expireAttempts ends it
+	}
 	a.failed = sim.rng.Float64() < n.faultFactor(Fail)
 	sim.after(work, func() { n.call(a, 0) })
 }
@@ -199,15 +219,21 @@
 	in.estimates.Reported(sim.now, n.record.Node, n.load())
 	r.reached++
 	r.ran = r.ran || !a.shed
-	if sim.now > r.deadline {
+	if sim.now > r.deadline || r.settled {
 		r.end(false)
 		return
 	}
+	r.countAttempt(a.shed)
 	if !a.failed && !a.shed {
-		r.end(true)
+		r.deliver(n)
 		return
 	}
 	in.estimates.Failed(sim.now, n.record.Node)
+	r.race.hasFailed = true
+	if r.attemptEnded(n) {
+		r.search.WasAsked(n.record.Node, false)
+		return
+	}
 	r.retryOrFail(n)
 }
 
@@ -242,6 +268,7 @@
 			n.queue.Cancel(id)
 			n.queue.Done(n.sim.now, id, false)
 			a.r.ingress.requestEnded(n)
+			a.r.addTime()
 			a.r.end(false)
 		}
 	}
--- a/internal/load/emulator/result.go
+++ b/internal/load/emulator/result.go
@@ -10,6 +10,8 @@
 	Classes     map[string]*Outcome
 	Seconds     []Second                   // clients' requests by the second in which they were sent
 	Starts      map[string][]time.Duration // by node: when its server got requests
+	HedgesSent  map[string][]time.Duration // by node: when it sent second attempts
+	Received    map[string][]time.Duration // by node: when it received requests, if hedging is on
 	classNames  []string
 	classByName map[string]Class
 }
@@ -20,6 +22,8 @@
 	InTime   int             // served within the objective
 	Late     int             // served after the objective
 	Retries  int             // attempts at a further server
+	Hedges   int             // second attempts before the first had ended
+	Won      int             // of these, those whose response was delivered
 	Refused  int             // refusals that clients received, including those followed by a repeat
 	Unserved int             // got no successful response
 	Times    []time.Duration // latencies of the served requests
@@ -31,7 +35,7 @@
 }
 
 func newResult(experiment Experiment) *Result {
-	r := &Result{Classes: map[string]*Outcome{}, Starts: map[string][]time.Duration{}, classByName: map[string]Class{}, Seconds: make([]Second, int(experiment.Duration/time.Second)+1)}
+	r := &Result{Classes: map[string]*Outcome{}, Starts: map[string][]time.Duration{}, HedgesSent: map[string][]time.Duration{}, Received: map[string][]time.Duration{}, classByName: map[string]Class{}, Seconds: make([]Second, int(experiment.Duration/time.Second)+1)}
 	for _, c := range experiment.Classes {
 		r.Classes[c.Name] = &Outcome{}
 		r.classByName[c.Name] = c
@@ -101,6 +105,19 @@
 	return sorted[min(int(p*float64(len(sorted))), len(sorted)-1)]
 }
 
+// PercentileOfAll returns the latency that a fraction p of the requests did not exceed. It is
+// limit if more requests than that got no successful response.
+func (o *Outcome) PercentileOfAll(p float64, limit time.Duration) time.Duration {
+	rank := int(p * float64(o.Requests))
+	if rank >= len(o.Times) {
+		return limit
+	}
+	return slices.Sorted(slices.Values(o.Times))[rank]
+}
+
+// Deadline returns the deadline of the requests of a class.
+func (r *Result) Deadline(class string) time.Duration { return r.classByName[class].Deadline }
+
 // Worth returns the value of the responses, as a fraction of the value if all
 // requests were served within their objective.
 func (r *Result) Worth() float64 {
--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -10,6 +10,7 @@
 
 	"github.com/geraniumdock/geraniumdock/internal/call/admission"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/hedge"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/server"
 )
@@ -46,6 +47,7 @@
 	workFactor     float64
 	estimates      *placement.Estimates
 	budget         *budget.Budget
+	hedges         *hedge.Hedges // nil without hedging
 	queue          *admission.Queue
 	fifo           []uint64 // IDs of the waiting requests with AdmitFIFO
 	waiting        map[uint64]*attempt
@@ -70,6 +72,7 @@
 	reached      int           // servers that have received it since it was last dispatched
 	ran          bool          // a server has run it since it was last dispatched
 	retryAfter   time.Duration // delay that the last refusal asked for
+	race         race
 }
 
 // attempt is a request that waits or runs at one server.
@@ -116,6 +119,7 @@
 			n := &node{
 				sim: sim, service: s, workFactor: workFactor, queue: admission.New(s.Slots),
 				waiting: map[uint64]*attempt{}, running: map[uint64]*attempt{}, outstanding: map[string]int{},
+				hedges: hedge.New(sim.experiment.Hedging),
 				budget: budget.New(budget.Limits{Window: retryBudgetWindow, Ratio: sim.experiment.RepeatRatio, Slack: sim.experiment.RepeatSlack, RerunShare: sim.experiment.RerunShare, FirstShare: sim.experiment.FirstShare}),
 			}
 			n.record = server.Record{
@@ -183,6 +187,11 @@
 func (sim *simulator) dispatch(r *request) {
 	in := r.ingress
 	in.budget.AddRequest(sim.now, r.class.Service)
+	if in.hedges != nil {
+		in.hedges.AddRequest(sim.now)
+		sim.result.Received[in.record.Node] = append(sim.result.Received[in.record.Node], sim.now)
+	}
+	r.race = race{}
 	r.search, r.reached, r.ran = placement.NewSearch(sim.now, r.firstSent+r.class.Objective, r.deadline), 0, false
 	sim.offerNext(r)
 }
@@ -193,9 +202,15 @@
 		sim.clientRefused(r)
 		return
 	}
-	in, target := r.ingress, sim.node(record.Node)
-	in.estimates.Sent(sim.now, record.Node)
-	in.outstanding[record.Node]++
+	target := sim.node(record.Node)
+	r.sendTo(target, mayWait)
+	r.planSecond(target, mayWait)
+}
+
+func (r *request) sendTo(target *node, mayWait bool) {
+	in, sim := r.ingress, target.sim
+	in.estimates.Sent(sim.now, target.record.Node)
+	in.outstanding[target.record.Node]++
 	transitDelay := sim.transitDelay(in, target)
 	sim.after(transitDelay, func() { target.offer(r, mayWait, transitDelay) })
 }
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -18,15 +18,16 @@
 	Result *emulator.Result
 }
 
-// Table writes a text table with a line for each class of each run.
+// Table writes a text table with a line for each class of each run. The percentiles of all
+// requests count those without a successful response as slower than any other.
 func Table(w io.Writer, runs []Run) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "run\tclass\tasked\tin objective\tlate\tunserved\trefusals\tp50\tp99\tworth\t")
+	fmt.Fprintln(t, "run\tclass\tasked\tin objective\tlate\tunserved\trefusals\tp50\tp99\tp99 of all\tp99.9 of all\thedges\twon\tworth\t")
 	for _, r := range runs {
 		for _, name := range r.Result.ClassNames() {
-			o := r.Result.Classes[name]
-			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%s\t%s\t%.3f\t\n", r.Name, name, o.Requests, o.InObjective(), o.Late,
-				o.Unserved, o.Refused, o.Percentile(0.5).Round(precision), o.Percentile(0.99).Round(precision), r.Result.Worth())
+			o, deadline := r.Result.Classes[name], r.Result.Deadline(name)
+			fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%d\t%d\t%.3f\t\n", r.Name, name, o.Requests, o.InObjective(), o.Late,
+				o.Unserved, o.Refused, o.Percentile(0.5).Round(precision), o.Percentile(0.99).Round(precision), o.PercentileOfAll(0.99, deadline).Round(precision), o.PercentileOfAll(0.999, deadline).Round(precision), o.Hedges, o.Won, r.Result.Worth())
 		}
 	}
 	if err := t.Flush(); err != nil {
