--- a/internal/load/emulator/simulator.go
+++ b/internal/load/emulator/simulator.go
@@ -10,6 +10,7 @@
 
 	"github.com/geraniumdock/geraniumdock/internal/call/admission"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/hedge"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/internal/call/refusal"
 	"github.com/geraniumdock/geraniumdock/quarantine"
@@ -50,6 +51,7 @@
 	estimates      *placement.Estimates
 	budget         *budget.Budget
 	refused        *refusal.Memory
+	hedges         *hedge.Hedges // nil without hedging
 	queue          *admission.Queue
 	fifo           []uint64 // IDs of the waiting requests with AdmitFIFO
 	waiting        map[uint64]*attempt
@@ -76,6 +78,7 @@
 	reached      int           // servers that have received it since it was last dispatched
 	ran          bool          // a server has run it since it was last dispatched
 	retryAfter   time.Duration // delay that the last refusal asked for
+	race         race
 }
 
 // attempt is a request that waits or runs at one server.
@@ -123,6 +126,7 @@
 			n := &node{
 				sim: sim, service: s, workFactor: workFactor, queue: admission.New(s.Slots),
 				waiting: map[uint64]*attempt{}, running: map[uint64]*attempt{}, outstanding: map[string]int{}, refused: refusal.New(),
+				hedges: hedge.New(sim.experiment.Hedging),
 				budget: budget.New(budget.Limits{Window: retryBudgetWindow, Ratio: sim.experiment.RepeatRatio, Slack: sim.experiment.RepeatSlack, RerunShare: sim.experiment.RerunShare, FirstShare: sim.experiment.FirstShare, OnceShare: sim.experiment.OnceShare}),
 			}
 			n.record = server.Record{
@@ -213,6 +217,11 @@
 	in := r.ingress
 	in.budget.AddRequest(sim.now, r.class.Service)
 	in.refused.Take(sim.now, r.identity)
+	if in.hedges != nil {
+		in.hedges.AddRequest(sim.now)
+		sim.result.Received[in.record.Node] = append(sim.result.Received[in.record.Node], sim.now)
+	}
+	r.race = race{}
 	r.search, r.reached, r.ran = placement.NewSearch(sim.now, r.firstSent+r.class.Objective, r.deadline), 0, false
 	sim.offerNext(r)
 }
@@ -223,9 +232,15 @@
 		sim.clientRefused(r)
 		return
 	}
-	in, target := r.ingress, sim.node(record.Node)
-	in.estimates.Sent(sim.now, record.Node)
-	in.outstanding[record.Node]++
+	target := sim.node(record.Node)
+	r.sendTo(target, mayWait)
+	r.planSecond(target, mayWait)
+}
+
+func (r *request) sendTo(target *node, mayWait bool) {
+	in, sim := r.ingress, target.sim
+	in.estimates.Sent(sim.now, target.record.Node)
+	in.outstanding[target.record.Node]++
 	transitDelay := sim.transitDelay(in, target)
 	sim.after(transitDelay, func() { target.offer(r, mayWait, transitDelay) })
 }
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/hedge"
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/roster"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/seed"
@@ -140,6 +141,7 @@
 		Verdict:   s.verdict,
 		Quota:     s.quota,
 		Limits:    retryBudget(st.Bounds),
+		Hedging:   hedge.Limits{MaxShare: st.Hedging.MaxShare, Percentile: st.Hedging.DelayPercentile()},
 		Clock:     cfg.Clock,
 		Log:       cfg.Log,
 		Random:    rand.New(rand.NewPCG(seed.ForNode(st.Node, cfg.Seed), 1)),
@@ -149,6 +151,7 @@
 			if o.Failed {
 				cfg.Meter.CountFailure(o.Kind)
 			}
+			countHedge(cfg.Meter, o.Hedge)
 		},
 	})
 	s.clientServer = listener.New(s.ingress, connectionLogger{cfg.Log}, s.limits, spoolBytes)
@@ -157,6 +160,16 @@
 	return s, nil
 }
 
+// countHedge counts the second attempt of a request by its result.
+func countHedge(m *meter.Meter, result string) {
+	switch result {
+	case ingress.HedgeWon, ingress.HedgeLost:
+		m.CountHedge(result == ingress.HedgeWon)
+	case ingress.HedgeOverLimit, ingress.HedgeOverloaded:
+		m.CountRefusedHedge(result)
+	}
+}
+
 // handleDeparture passes to the station what another process has learned about its
 // server, which drains or has left.
 func (s *Sidecar) handleDeparture(r server.Record) {
--- a/settings/sidecar_test.go
+++ b/settings/sidecar_test.go
@@ -38,6 +38,7 @@
   quota-window-seconds: 4
   quota-overage-ratio:
   quota-slack: 30
+hedging: {max-share: 0.02}
 memory-mb: 284
 `
 
@@ -55,6 +56,8 @@
 	is.Equal(window, 4*time.Second)
 	is.Equal(ratio, defaultQuotaOverage) // omitted by the platform
 	is.Equal(slack, 30.0)
+	is.Equal(s.Hedging.MaxShare, 0.02)
+	is.Equal(s.Hedging.DelayPercentile(), 0.95)
 	is.Equal(s.Store.History, 20*time.Second)
 	is.True(s.Log.JSON)
 }
@@ -67,7 +70,10 @@
 		`service: "shop"`:             {`service: ""`, "local.yaml:7 key server.service"},
 		`drain-seconds: 2.5`:          {`drain-seconds: 0`, "local.yaml:21 key bounds.drain-seconds"},
 		`quota-slack: 30`:             {`quota-slack: -1`, "local.yaml:28 key bounds.quota-slack"},
-		`memory-mb: 284`:              {`memory-mb: -1`, "local.yaml:29 key memory-mb"},
+		`memory-mb: 284`:              {`memory-mb: -1`, "local.yaml:30 key memory-mb"},
+		`max-share: 0.02`:             {`max-share: 1.5`, "local.yaml:29 key hedging.max-share"},
+		`{max-share: 0.02}`:           {`{percentile: 99.5}`, "local.yaml:29 key hedging.percentile"},
+		`max-share: 0.02}`:            {`max-share: .nan}`, "local.yaml:29 key hedging.max-share"},
 		`history-seconds: 20`:         {`history-seconds: -20`, "local.yaml:19 key store.history-seconds"},
 		`writes-per-second: 400`:      {`writes-per-second: many`, "17"},
 		`memory-mb`:                   {`memory-gb`, "memory-gb"},
