--- a/node/ingress.go
+++ b/node/ingress.go
@@ -9,6 +9,7 @@
 	"time"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/identity"
 	"github.com/geraniumdock/geraniumdock/quarantine"
 	"github.com/geraniumdock/geraniumdock/server"
@@ -33,7 +34,7 @@
 
 // serveCaller handles a call from a caller.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	c, row, err := n.accept(r)
+	c, row, err := n.accept(w, r)
 	if err != nil {
 		n.failCall(w, r, c, err)
 		return
@@ -72,7 +73,7 @@
 }
 
 // accept identifies the caller and returns the call and its table row.
-func (n *Node) accept(r *http.Request) (*call, *table.Row, error) {
+func (n *Node) accept(w http.ResponseWriter, r *http.Request) (*call, *table.Row, error) {
 	s := n.snapshot.Load()
 	if s.policy == nil {
 		return nil, nil, gd.NotReady.Errorf("node %s has not loaded the current table yet", n.name)
@@ -90,7 +91,7 @@
 	if err != nil {
 		return c, nil, err
 	}
-	if err := n.prepare(c, row); err != nil {
+	if err := n.prepare(w, c, row); err != nil {
 		return c, nil, err
 	}
 	if s.register.Verdict(n.cfg.Clock.Now(), c.fingerprint) == quarantine.Refused {
@@ -113,7 +114,7 @@
 }
 
 // prepare sets the call's deadline, body and fingerprint.
-func (n *Node) prepare(c *call, row *table.Row) error {
+func (n *Node) prepare(w http.ResponseWriter, c *call, row *table.Row) error {
 	requested, err := parseTimeout(c.request.Header.Get(timeoutHeader))
 	if err != nil {
 		return err
@@ -123,9 +124,19 @@
 		timeout = min(timeout, requested)
 	}
 	c.deadline = n.cfg.Clock.Monotonic() + timeout
+	// Without a deadline, a caller that stops within the body would hold its connection, and the
+	// buffer of a small body, for as long as it likes. The server of HTTP resets the deadline
+	// before the next request of the connection.
+	connection := http.NewResponseController(w)
+	if c.request.ContentLength != 0 {
+		_ = connection.SetReadDeadline(clock.Deadline(timeout)) // an error shows in the next read
+	}
 	if c.body, err = newBody(c.request); err != nil {
 		return err
 	}
+	if c.body.buffered && c.body.length != 0 {
+		_ = connection.SetReadDeadline(time.Time{}) // likewise
+	}
 	if c.request.Header.Get("Upgrade") != "" {
 		return gd.Invalid.Errorf("header Upgrade: protocol upgrades are not supported")
 	}
