--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -129,6 +129,9 @@
 		return s.errorResponse(err, s.quotaWait)
 	}
 	defer s.returnToken()
+	if r.Body != nil && r.Body.Err() != nil {
+		return s.errorResponse(r.Body.Err(), 0) // such as a body that is announced to be too large
+	}
 	return s.run(ctx)
 }
 
--- a/internal/proxy/peer/handler.go
+++ b/internal/proxy/peer/handler.go
@@ -57,6 +57,7 @@
 		ErrorLog:  log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          maxStreams,
+			MaxReadFrameSize:              maxFrameBytes,
 			MaxReceiveBufferPerStream:     streamBufferFor(mbps),
 			MaxReceiveBufferPerConnection: connBufferBytes,
 		},
--- a/internal/proxy/peer/progress.go
+++ b/internal/proxy/peer/progress.go
@@ -57,7 +57,7 @@
 		return true
 	}
 	sent, isComplete := p.counted.stop()
-	return isComplete || sent >= request.HeldBodyBytes || sent == p.r.ContentLength
+	return isComplete || sent >= request.BufferedBytes || sent == p.r.ContentLength
 }
 
 // countedBody is a request body that counts the bytes that the transport has taken.
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -53,5 +53,6 @@
 	RequestRefused    = "request-refused" // by the node beside the backend server
 	RequestServed     = "request-served"  // by the backend server
 	ConnectionRefused = "connection-refused"
-	QuotaRefused      = "quota-refused" // requests of a workspace that got no token of its quota
+	QuotaRefused      = "quota-refused"   // requests of a workspace that got no token of its quota
+	BodiesGaveWay     = "bodies-gave-way" // request bodies were ended because all together hold too much memory
 )
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -24,7 +24,7 @@
 	Store      SidecarStore      `yaml:"store"`
 	Bounds     SidecarBounds     `yaml:"bounds"`
 	Hedging    SidecarHedging    `yaml:"hedging"`
-	MemoryMB   int               `yaml:"memory-mb"` // memory limit of the process; not used
+	MemoryMB   int               `yaml:"memory-mb"` // memory of the VM for the process; 0 if unknown
 	LinkMbps   float64           `yaml:"link-mbps"` // bandwidth of the VM's network link; 0 if unknown
 	Log        Log               `yaml:"log"`
 	Regions    map[string]string `yaml:"regions"` // region by data centre; not used
@@ -64,6 +64,9 @@
 	QuotaWindowSeconds  *float64 `yaml:"quota-window-seconds"`  // length of the window in which a quota is binding
 	QuotaOverageRatio   *float64 `yaml:"quota-overage-ratio"`   // requests allowed in a window in addition to the quota, relative to it
 	QuotaSlack          *float64 `yaml:"quota-slack"`           // requests allowed in a window in addition to those
+	BodyMB              *float64 `yaml:"body-mb"`               // memory of all request bodies
+	BodyProgressSeconds *float64 `yaml:"body-progress-seconds"` // time within which a KiB of a request body must arrive
+	ClientConnections   *float64 `yaml:"client-connections"`    // open connections of clients
 }
 
 // Defaults for the limits that the platform omits.
@@ -128,6 +131,9 @@
 		{"quota-window-seconds", b.QuotaWindowSeconds, minBoundSeconds},
 		{"quota-overage-ratio", b.QuotaOverageRatio, 0},
 		{"quota-slack", b.QuotaSlack, 0},
+		{"body-mb", b.BodyMB, 1},
+		{"body-progress-seconds", b.BodyProgressSeconds, minBoundSeconds},
+		{"client-connections", b.ClientConnections, 1},
 	} {
 		if n.value != nil && (*n.value < n.minimum || *n.value > maxBound) {
 			return "bounds." + n.key, fmt.Sprintf("%g is not between %g and %g", *n.value, n.minimum, float64(maxBound))
