--- a/internal/call/admission/admission.go
+++ b/internal/call/admission/admission.go
@@ -375,7 +375,7 @@
 // objective because items of others have come before it. It is then refused at once,
 // as its caller has more time for another attempt.
 func (q *Queue) isDisplaced(now, wait time.Duration, it Item) bool {
-	return !q.meetsObjective(now+wait, it) && q.isOver(now, it.Workspace)
+	return !q.meetsObjective(now+wait, it) && q.isOver(now, it.Workspace, q.limit(now))
 }
 
 // Clear removes and returns all waiting items.
--- a/internal/call/admission/fair.go
+++ b/internal/call/admission/fair.go
@@ -150,20 +150,29 @@
 	return max(freeSlotTimes*q.typicalSlotTime().Seconds(), q.shares.average(now)/2)
 }
 
+// limit returns the slot time in seconds above which a workspace is over its share.
+func (q *Queue) limit(now time.Duration) float64 {
+	return max(freeSlotTimes*q.typicalSlotTime().Seconds(), q.shares.average(now))
+}
+
 // isOver reports whether the workspace is over its share of the slot time.
-func (q *Queue) isOver(now time.Duration, workspace string) bool {
-	return workspace != "" && q.shares.rank(now, workspace) > max(q.free(now), q.shares.average(now))
+func (q *Queue) isOver(now time.Duration, workspace string, limit float64) bool {
+	return workspace != "" && q.shares.rank(now, workspace) > limit
 }
 
 // mayWaitLonger reports whether an item whose workspace is not over its share may wait as
 // long as it meets its objective, because a workspace that is over its share has slots.
 // With the usual limit on waits such items would be refused while that one is served.
 func (q *Queue) mayWaitLonger(now, wait time.Duration, it Item) bool {
-	if it.Workspace == "" || !q.meetsObjective(now+wait, it) || q.isOver(now, it.Workspace) {
+	if it.Workspace == "" || !q.meetsObjective(now+wait, it) {
+		return false
+	}
+	limit := q.limit(now)
+	if q.isOver(now, it.Workspace, limit) {
 		return false
 	}
 	for _, r := range q.running {
-		if q.isOver(now, r.workspace) {
+		if q.isOver(now, r.workspace, limit) {
 			return true
 		}
 	}
@@ -205,9 +214,9 @@
 	if len(q.waiting) == 0 {
 		return 0
 	}
-	n, limit := 0, max(q.free(now), q.shares.average(now))
+	n, limit := 0, q.limit(now)
 	for name := range q.shares.workspaces {
-		if q.shares.rank(now, name) > limit {
+		if q.isOver(now, name, limit) {
 			n++
 		}
 	}
