--- a/geraniumdock.go
+++ b/geraniumdock.go
@@ -59,6 +59,7 @@
 	Name     string
 	Revision Revision
 	Value    []byte
+	Status   []byte // written apart from Value; empty if it was never written
 	Deleted  bool
 }
 
@@ -79,6 +80,8 @@
 	// Put writes an entry that is still at revision, where the zero value means that
 	// the entry must not exist.
 	Put(ctx context.Context, kind, name string, value []byte, revision Revision) (Entry, error)
+	// PutStatus writes the status of an existing entry that is still at revision.
+	PutStatus(ctx context.Context, kind, name string, status []byte, revision Revision) (Entry, error)
 	// Delete removes an entry that is still at revision.
 	Delete(ctx context.Context, kind, name string, revision Revision) error
 }
--- a/internal/fleet/roster/fleet_test.go
+++ b/internal/fleet/roster/fleet_test.go
@@ -224,6 +224,13 @@
 	return c.store.put(kind, name, value), nil
 }
 
+func (c storeClient) PutStatus(ctx context.Context, _, _ string, _ []byte, _ gd.Revision) (gd.Entry, error) {
+	if err := c.call(ctx); err != nil {
+		return gd.Entry{}, err
+	}
+	return gd.Entry{}, gd.NotFound.Errorf("the store has no entries with a status")
+}
+
 func (c storeClient) Delete(ctx context.Context, kind, name string, _ gd.Revision) error {
 	return c.call(ctx)
 }
--- a/internal/fleet/roster/gossip.go
+++ b/internal/fleet/roster/gossip.go
@@ -53,6 +53,8 @@
 	Checked     uint64              `cbor:"18,keyasint,omitempty"` // number of the catalogue's revision up to which Version is the latest
 	CheckedEra  uint64              `cbor:"19,keyasint,omitempty"` // era of that revision
 	Served      bool                `cbor:"20,keyasint,omitempty"` // the catalogue serves the sender again
+	Rollouts    []rolloutMessage    `cbor:"30,keyasint,omitempty"` // all that the sender knows of
+	Counts      []countsMessage     `cbor:"31,keyasint,omitempty"` // responses of the server beside the sender, for the nodes that decide
 }
 
 // gossip exchanges messages with random nodes until ctx ends. If one does not respond soon, it
@@ -129,6 +131,7 @@
 		Digests:     s.directory.Digests(),
 		ReportCount: s.register.Size(),
 		Silent:      s.silentNodes(),
+		Rollouts:    s.rolloutMessages(),
 	}
 }
 
@@ -221,6 +224,7 @@
 		s.r.noteChecked(gd.Revision{Era: m.CheckedEra, Number: m.Checked})
 	}
 	s.mergeReports(m.Reports)
+	s.receiveRollouts(m)
 }
 
 // isNodeRecord reports whether a node may have written the record, which the given node has
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	gd "github.com/geraniumdock/geraniumdock"
+	"github.com/geraniumdock/geraniumdock/internal/call/canary"
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/seed"
 	"github.com/geraniumdock/geraniumdock/internal/telemetry/event"
@@ -52,6 +53,7 @@
 	// OnDeparture is called with a record of the server beside this node which states that
 	// it drains or has left, if this process has announced that server as up.
 	OnDeparture func(server.Record)
+	Rollouts    *RolloutConfig // nil if the node follows no roll-outs
 }
 
 // Snapshot is an immutable view of the fleet.
@@ -62,9 +64,10 @@
 	Directory   server.Directory
 	Serving     map[string][]server.Record // by service, ordered by node
 	Register    quarantine.Register
+	Rules       map[string]canary.Rule // by service: which servers get requests during a roll-out
 	silent      map[string]silence
 	refused     map[string]time.Duration
-	generation  uint64 // of silent and refused
+	generation  uint64 // of silent, refused and Rules
 }
 
 // Roster maintains the view of one node. Use New to create one.
@@ -80,6 +83,7 @@
 	tasks      sync.WaitGroup
 	pushSlots  chan struct{} // semaphore for pushes in flight
 	slowSlots  chan struct{} // the same for pushes to silent nodes
+	rollouts   rolloutCounter
 
 	mu           sync.Mutex // guards the fields below
 	random       *rand.Rand
@@ -117,7 +121,9 @@
 	heardAt         map[string]time.Duration   // by node: when its last message arrived
 	silent          map[string]silence         // by node: nodes that do not respond; replaced as a whole
 	refused         map[string]time.Duration   // by node: until when it is taken to be refused by the catalogue; replaced as a whole
-	reachGeneration uint64                     // increases when silent or refused is replaced
+	reachGeneration uint64                     // increases when silent, refused or rules is replaced
+	rollouts        map[string]*trackedRollout // by service
+	rules           map[string]canary.Rule     // by service; replaced as a whole
 	handedOver      bool                       // others watch the policy in place of this node
 	readRevision    gd.Revision                // of the catalogue when this node read the policy last
 	removalAt       time.Duration              // when requestRemovals requested a list last
@@ -167,6 +173,7 @@
 	loops.Go(func() { r.followServers(ctx) })
 	loops.Go(func() { r.publishLoop(ctx) })
 	loops.Go(func() { r.gossip(ctx) })
+	loops.Go(func() { r.followRollouts(ctx) })
 	s := &state{
 		r:            r,
 		ctx:          ctx,
@@ -176,6 +183,7 @@
 		forgotten:    map[string]server.Record{},
 		spread:       map[quarantine.Report]bool{},
 		silent:       map[string]silence{},
+		rollouts:     map[string]*trackedRollout{},
 	}
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
@@ -188,6 +196,7 @@
 			s.publishSnapshot()
 		case <-tick.C:
 			s.expire()
+			s.advanceRollouts()
 			s.publishSnapshot()
 		case <-ctx.Done():
 			loops.Wait()
@@ -226,7 +235,7 @@
 	}
 	next := &Snapshot{
 		Policy: s.policy, PolicySince: s.policySince, PolicyAge: s.policySince - s.policyReadAt, Directory: s.directory, Serving: old.Serving, Register: s.register,
-		silent: s.silent, refused: s.refused, generation: s.reachGeneration,
+		Rules: s.rules, silent: s.silent, refused: s.refused, generation: s.reachGeneration,
 	}
 	if old.Directory.Generation() != s.directory.Generation() {
 		next.Serving = s.directory.Serving()
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -41,6 +41,9 @@
 func (unavailable) Put(context.Context, string, string, []byte, gd.Revision) (gd.Entry, error) {
 	return gd.Entry{}, errUnavailable
 }
+func (unavailable) PutStatus(context.Context, string, string, []byte, gd.Revision) (gd.Entry, error) {
+	return gd.Entry{}, errUnavailable
+}
 func (unavailable) Delete(context.Context, string, string, gd.Revision) error { return errUnavailable }
 
 // hangingExchanger is an Exchanger whose peers never reply.
--- a/internal/proxy/ingress/ingress.go
+++ b/internal/proxy/ingress/ingress.go
@@ -18,6 +18,7 @@
 
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/internal/call/budget"
+	"github.com/geraniumdock/geraniumdock/internal/call/canary"
 	"github.com/geraniumdock/geraniumdock/internal/call/placement"
 	"github.com/geraniumdock/geraniumdock/internal/call/refusal"
 	"github.com/geraniumdock/geraniumdock/internal/call/request"
@@ -59,7 +60,8 @@
 	Peers      Peers
 	Station    Station
 	Verdict    func(...quarantine.Fingerprint) quarantine.Verdict
-	Limits     budget.Limits // bounds on retries over all nodes
+	Limits     budget.Limits  // bounds on retries over all nodes
+	Versions   *canary.Filter // selects servers by their versions; nil for all alike
 	Clock      gd.Clock
 	Log        hclog.Logger
 	Random     *rand.Rand
@@ -144,6 +146,7 @@
 	identity  quarantine.Fingerprint // see identify
 
 	search       placement.Search
+	draw         canary.Draw
 	reached      int      // servers that may have received the request
 	ran          bool     // a server may have run the request
 	attempts     []string // result of each attempt, for the log
@@ -259,8 +262,10 @@
 	return quarantine.NewHash(s.g.cfg.Service, s.r.Method, s.r.Host+s.r.RequestURI)
 }
 
-// serving takes a new snapshot and returns the servers of the service.
+// serving takes a new snapshot and returns the servers of the service that the request may be
+// sent to next.
 func (s *requestState) serving() []server.Record {
 	s.snapshot = s.g.cfg.Snapshot()
-	return s.snapshot.Serving[s.service]
+	snapshot, now := s.snapshot, s.g.cfg.Clock.Monotonic()
+	return s.g.cfg.Versions.Select(now, s.service, snapshot.Rules[s.service], snapshot.Directory.Generation(), snapshot.Serving[s.service], snapshot.IsSilent, s.search.Asked(), &s.draw)
 }
--- /dev/null
+++ b/internal/proxy/sidecar/rollout_test.go
@@ -0,0 +1,108 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumdock/geraniumdock/internal/fleet/rollout"
+	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
+	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
+	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+)
+
+// rolloutDuration is that of the orders in these tests.
+const rolloutDuration = 6 * time.Second
+
+// startRollout starts a fleet with three servers of version v1 and clients, orders a roll-out to
+// v2, and starts three servers of it with the given faults.
+func startRollout(t *testing.T, faults backend.Faults) *fleet.Fleet {
+	is := is.New(t)
+	nodes := shopNodes(3)
+	for i := range nodes {
+		nodes[i].Version = "v1"
+	}
+	f := startFleet(t, fleet.Spec{Nodes: nodes, Slots: 8, WorkTime: 5 * time.Millisecond, CanaryShare: 0.2, AnnounceInterval: 500 * time.Millisecond})
+	clients := f.VMs
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i, vm := range clients {
+		running.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				f.Do(ctx, fleet.Request{VM: vm, Path: "/reads/1", ID: fmt.Sprint("load-", i, "-", n), Deadline: time.Second})
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	t.Cleanup(func() { cancel(); running.Wait() })
+	is.NoErr(f.Order(rollout.Order{Service: "shop", Target: "v2", Duration: rolloutDuration}))
+	for _, n := range nodes {
+		n.Version = "v2"
+		vm, err := f.AddVM(n)
+		is.NoErr(err)
+		vm.Server.SetFaults(faults)
+	}
+	return f
+}
+
+// arrivals returns the numbers of requests that servers of v1 and of v2 have received.
+func arrivals(f *fleet.Fleet) (old, target int) {
+	for i, vm := range f.VMs {
+		if i < 3 {
+			old += vm.Server.Stats().Arrivals
+		} else {
+			target += vm.Server.Stats().Arrivals
+		}
+	}
+	return old, target
+}
+
+func awaitOutcome(t *testing.T, f *fleet.Fleet, want rollout.Phase) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(fleet.Await("the store holds "+want.String(), func() bool { return f.Outcome("shop") >= rollout.StoredRolledBack }))
+	is.Equal(f.Outcome("shop").String(), want.String())
+}
+
+// TestGoodVersionIsRolledOut guards against a roll-out that does not end, and against requests to
+// servers of the old version, which stop at once, when the status says that it is complete. The
+// store loses the responses to some writes.
+func TestGoodVersionIsRolledOut(t *testing.T) {
+	is := is.New(t)
+	f := startRollout(t, backend.Faults{})
+	f.Store.SetFaults(catalogue.Faults{LostWriteRatio: 0.5})
+	awaitOutcome(t, f, rollout.StoredComplete)
+	old, target := arrivals(f)
+	time.Sleep(300 * time.Millisecond)
+	oldLater, targetLater := arrivals(f)
+	is.Equal(oldLater, old)
+	is.True(targetLater > target)
+}
+
+// TestBadVersionIsRolledBack guards against a version that fails requests and stays in use.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	is := is.New(t)
+	f := startRollout(t, backend.Faults{Fail: true})
+	awaitOutcome(t, f, rollout.StoredRolledBack)
+	_, target := arrivals(f)
+	time.Sleep(300 * time.Millisecond)
+	old, targetLater := arrivals(f)
+	is.Equal(targetLater, target)
+	is.True(float64(target) <= 0.2*float64(old+target)+50)
+}
+
+// TestDecidingNodeIsKilled guards against a roll-out that ends with the node that decides. Two of
+// three old nodes are killed one after the other, so that each node that decides may be one.
+func TestDecidingNodeIsKilled(t *testing.T) {
+	f := startRollout(t, backend.Faults{})
+	for _, vm := range f.VMs[3:5] {
+		time.Sleep(rolloutDuration / 5)
+		vm.Server.Crash()
+		vm.Sidecar.Kill()
+	}
+	awaitOutcome(t, f, rollout.StoredComplete)
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -107,6 +107,7 @@
 		OnAdoption:  func(r server.Record) { s.station.Adopt(r) },
 		OnLeave:     func(r server.Record) { s.station.HandleLeave(r.Instance, r.Started) },
 		OnDeparture: s.handleDeparture,
+		Rollouts:    rolloutConfig(st),
 	})
 	s.station = station.New(station.Config{
 		Node: st.Node, Address: st.Server.Address, Service: st.Server.Service, Drain: st.Bounds.DrainPeriod(), LinkMbps: st.LinkMbps,
@@ -117,6 +118,7 @@
 		Verdict:  func(fp quarantine.Fingerprint) quarantine.Verdict { return s.verdict(fp) },
 		Innocent: s.recordInnocent,
 		Observe: func(o station.Outcome) {
+			s.countResponse(o)
 			cfg.Meter.CountServerRequest(o.Status, meter.ServerTiming{TransitDelay: o.TransitDelay, SlotWait: o.SlotWait, SlotTime: o.SlotTime})
 		},
 	})
@@ -125,6 +127,7 @@
 		Snapshot: s.roster.Snapshot, Peers: s.peerClient, Station: s.station,
 		Verdict:   s.verdict,
 		Limits:    retryBudget(st.Bounds),
+		Versions:  versionFilter(st, cfg.Seed),
 		Clock:     cfg.Clock,
 		Log:       cfg.Log,
 		Random:    rand.New(rand.NewPCG(seed.ForNode(st.Node, cfg.Seed), 1)),
@@ -226,6 +229,7 @@
 	m.Gauge("geraniumdock_slots_used", func() float64 { return float64(s.station.Load().Running) })
 	m.Gauge("geraniumdock_server_limit", s.station.Limit)
 	m.Gauge("geraniumdock_server_requests", func() float64 { return float64(s.station.Sent()) })
+	s.registerRolloutGauges()
 	m.Gauge("geraniumdock_waiting", func() float64 { return float64(s.station.Load().Waiting) })
 }
 
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -88,13 +89,17 @@
 		s.logRefusal(r, err)
 		return request.Failed(err, false)
 	}
-	began := s.now()
+	began, isCold := s.now(), s.isCold()
 	a := s.send(ctx, id, r, sentTo)
 	status := 0
 	if a.Response != nil {
 		status = a.Response.StatusCode
 	}
-	s.cfg.Observe(Outcome{TransitDelay: r.TransitDelay, SlotWait: began - arrived, SlotTime: s.now() - began, Status: status})
+	s.cfg.Observe(Outcome{
+		TransitDelay: r.TransitDelay, SlotWait: began - arrived, SlotTime: s.now() - began, Status: status,
+		Class: r.Class, Version: sentTo.Version, IsCold: isCold, IsNotRun: a.Shed || a.Err != nil && !a.Reached,
+		IsLeft: a.Err != nil && hasClientLeft(ctx),
+	})
 	if a.Err != nil || status >= http.StatusInternalServerError {
 		s.cfg.Log.Warn(event.RequestServed, "id", r.ID, "instance", s.instance(), "status", status, "reached", a.Reached,
 			"waited", (began - arrived).String(), "took", (s.now() - began).String(), "error", errorText(a.Err))
@@ -155,6 +160,23 @@
 	return admission.Item{Class: r.Class, Priority: r.Priority, Objective: now + r.Objective, Deadline: now + r.Remaining}
 }
 
+// deadlineMargin is the time by which the node that sent a request may cancel it before its
+// deadline here: that node's own deadline for it is earlier.
+const deadlineMargin = 100 * time.Millisecond
+
+// hasClientLeft reports whether the context of a request was canceled well before its deadline.
+func hasClientLeft(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return errors.Is(ctx.Err(), context.Canceled) && (!ok || clock.Since(deadline) < -deadlineMargin)
+}
+
+// isCold reports whether the server is still slow after its start.
+func (s *Station) isCold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() < s.coldUntil
+}
+
 // errorText returns the message of err, "" for nil.
 func errorText(err error) string {
 	if err == nil {
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -57,6 +57,12 @@
 type Outcome struct {
 	TransitDelay, SlotWait, SlotTime time.Duration
 	Status                           int // of the HTTP response, 0 if there was none
+
+	Class    string // of the request
+	Version  string // of the server's software
+	IsCold   bool   // the server was still slow after its start when it got the request
+	IsNotRun bool   // the server states that it did not run the request, or could not be reached
+	IsLeft   bool   // the client disconnected before there was a response
 }
 
 // Station serves one backend server. Use New.
@@ -261,7 +267,7 @@
 	if s.known || s.nodeDraining {
 		return
 	}
-	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
+	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Version: r.Version, Address: s.cfg.Address}
 	s.known, s.state = true, server.Up
 	s.confirmBy = s.startedAt + confirmIntervals*s.cfg.AnnounceInterval
 	s.awaited.isPending = s.isOlderThanProcess(r.Started)
@@ -306,6 +312,7 @@
 		Instance: s.server.Instance,
 		Slots:    s.server.Slots,
 		Started:  s.server.Started,
+		Version:  s.server.Version,
 		State:    s.state,
 		HasLeft:  s.state == server.Gone,
 	})
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -68,6 +68,7 @@
 type Server struct {
 	Service          string
 	Instance         string
+	Version          string // of its software, as announced
 	Slots            int
 	Queue            int           // maximum number of requests that wait for a slot
 	HangWhenFull     bool          // requests that arrive at a full queue never get a response
@@ -215,7 +216,7 @@
 		address = s.Address()
 	}
 	return platform.Announcement{
-		Instance: s.Instance, Service: s.Service, Address: address, Slots: s.Slots,
+		Instance: s.Instance, Service: s.Service, Address: address, Version: s.Version, Slots: s.Slots,
 		Draining: s.draining, Sequence: s.sequence, Started: s.started,
 	}
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -16,6 +16,7 @@
 	gd "github.com/geraniumdock/geraniumdock"
 	"github.com/geraniumdock/geraniumdock/clock"
 	"github.com/geraniumdock/geraniumdock/internal/call/route"
+	"github.com/geraniumdock/geraniumdock/internal/fleet/rollout"
 	"github.com/geraniumdock/geraniumdock/internal/proxy/sidecar"
 	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
 	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
@@ -51,6 +52,7 @@
 	RepeatRatio float64       // retries allowed per request
 	RepeatSlack float64       // retries allowed in a window in addition to the ratio
 	NoPolicy    bool          // starts without a policy in the store
+	CanaryShare float64       // share of a bad version in a roll-out; 0 for nodes that follow none
 	// AnnounceInterval is the time between two announcements of a server; 0 for only those that a
 	// test makes.
 	AnnounceInterval time.Duration
@@ -60,6 +62,7 @@
 type NodeSpec struct {
 	DataCentre string
 	Service    string
+	Version    string // of the server's software
 }
 
 // VM is a running sidecar with the backend server beside it.
@@ -118,7 +121,7 @@
 
 func (f *Fleet) startVM(i int, n NodeSpec) (*VM, error) {
 	server := &backend.Server{
-		Service: n.Service, Instance: fmt.Sprintf("instance-%d", i), Slots: f.spec.Slots, Queue: 4 * f.spec.Slots, WorkTime: f.spec.WorkTime,
+		Service: n.Service, Version: n.Version, Instance: fmt.Sprintf("instance-%d", i), Slots: f.spec.Slots, Queue: 4 * f.spec.Slots, WorkTime: f.spec.WorkTime,
 		AnnounceInterval: f.spec.AnnounceInterval,
 	}
 	l, err := net.Listen("tcp", serverLoopback)
@@ -152,6 +155,9 @@
 	if drain > 0 {
 		s.Bounds.DrainSeconds = &drain
 	}
+	if f.spec.CanaryShare > 0 {
+		s.Bounds.CanaryShare = &f.spec.CanaryShare
+	}
 	if grace > 0 {
 		s.Bounds.GraceSeconds = &grace
 	}
@@ -204,6 +210,39 @@
 	return err
 }
 
+// AddVM starts another VM and returns it. It does not wait until the others know its server.
+func (f *Fleet) AddVM(n NodeSpec) (*VM, error) {
+	vm, err := f.startVM(len(f.VMs), n)
+	if err == nil {
+		f.VMs = append(f.VMs, vm)
+	}
+	return vm, err
+}
+
+// Order writes the order of a roll-out, under the name of its service.
+func (f *Fleet) Order(o rollout.Order) error {
+	data, err := platform.EncodeRollout(o)
+	if err != nil {
+		return err
+	}
+	_, err = f.Store.Put(context.Background(), "operator", platform.RolloutKind, o.Service, data, nil, 0, true)
+	return err
+}
+
+// Outcome returns the phase that the store holds for the roll-out of a service.
+func (f *Fleet) Outcome(service string) rollout.Phase {
+	e, err := f.Store.Get(context.Background(), "operator", platform.RolloutKind, service)
+	if err != nil {
+		return rollout.None
+	}
+	e.Entry.Status = e.Status
+	_, phase, err := platform.DecodeRollout(e.Entry)
+	if err != nil {
+		return rollout.None
+	}
+	return phase
+}
+
 // SetRawPolicy writes data to the store in place of an encoded policy.
 func (f *Fleet) SetRawPolicy(data []byte) error {
 	_, err := f.Store.Put(context.Background(), "operator", platform.ConfigKind, platform.ConfigName, data, nil, 0, true)
--- a/internal/telemetry/event/event.go
+++ b/internal/telemetry/event/event.go
@@ -44,7 +44,11 @@
 	NodeSilent          = "node-silent"   // another node does not respond
 	NodeResponds        = "node-responds" // it does again
 	RequestsSuspected   = "requests-suspected"
-	SuspectsCleared     = "suspects-cleared" // requests equal to suspected ones have run well
+	RolloutPhase        = "rollout-phase"       // a roll-out was ordered or entered another phase
+	RolloutRefused      = "rollout-refused"     // an order cannot be read
+	RolloutWritten      = "rollout-written"     // the store holds the status of a roll-out
+	RolloutNotWritten   = "rollout-not-written" // a write of the status failed, and is repeated
+	SuspectsCleared     = "suspects-cleared"    // requests equal to suspected ones have run well
 )
 
 // Events of a request or a connection.
--- a/internal/telemetry/meter/meter_test.go
+++ b/internal/telemetry/meter/meter_test.go
@@ -33,6 +33,9 @@
 func (f fakeCatalogue) Put(context.Context, string, string, []byte, gd.Revision) (gd.Entry, error) {
 	return gd.Entry{}, f.err
 }
+func (f fakeCatalogue) PutStatus(context.Context, string, string, []byte, gd.Revision) (gd.Entry, error) {
+	return gd.Entry{}, f.err
+}
 func (f fakeCatalogue) Delete(context.Context, string, string, gd.Revision) error { return f.err }
 
 func metricsText(m *Meter) string {
--- a/internal/telemetry/meter/store.go
+++ b/internal/telemetry/meter/store.go
@@ -98,6 +98,15 @@
 	return e, err
 }
 
+// PutStatus writes the status of an entry.
+func (c *Catalogue) PutStatus(ctx context.Context, kind, name string, status []byte, revision gd.Revision) (gd.Entry, error) {
+	start := c.clock.Monotonic()
+	e, err := c.next.PutStatus(ctx, kind, name, status, revision)
+	c.count("put-status", start, err)
+	c.note(e.Revision, err)
+	return e, err
+}
+
 // Delete removes an entry.
 func (c *Catalogue) Delete(ctx context.Context, kind, name string, revision gd.Revision) error {
 	start := c.clock.Monotonic()
--- a/server/record.go
+++ b/server/record.go
@@ -54,9 +54,10 @@
 	Incarnation uint64     `cbor:"8,keyasint" json:"incarnation"`
 	Sequence    uint64     `cbor:"9,keyasint" json:"sequence"`
 	State       State      `cbor:"10,keyasint,omitempty" json:"state"`
-	Unhealthy   bool       `cbor:"11,keyasint,omitempty" json:"unhealthy"` // reported by its health endpoint; lowers the preference only slightly
-	Instance    string     `cbor:"12,keyasint,omitempty" json:"instance"`  // chosen by the server; identifies this start of it
-	HasLeft     bool       `cbor:"13,keyasint,omitempty" json:"has-left"`  // the server has stated that it left; without it, Gone may be that of its node only
+	Unhealthy   bool       `cbor:"11,keyasint,omitempty" json:"unhealthy"`         // reported by its health endpoint; lowers the preference only slightly
+	Instance    string     `cbor:"12,keyasint,omitempty" json:"instance"`          // chosen by the server; identifies this start of it
+	HasLeft     bool       `cbor:"13,keyasint,omitempty" json:"has-left"`          // the server has stated that it left; without it, Gone may be that of its node only
+	Version     string     `cbor:"14,keyasint,omitempty" json:"version,omitempty"` // of the server's software, "" if it states none
 }
 
 // Compare compares two records of one node. It returns a positive number if r is
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -60,6 +60,9 @@
 	RepeatRatio         *float64 `yaml:"repeat-ratio"`          // retries per request in a window, over all nodes
 	RepeatWindowSeconds *float64 `yaml:"repeat-window-seconds"` // length of the window
 	RepeatSlack         *float64 `yaml:"repeat-slack"`          // retries allowed in a window in addition to the ratio
+	CanaryShare         *float64 `yaml:"canary-share"`          // part of the requests that a bad version may get in a roll-out; without it nodes follow no roll-outs
+	CanarySlack         *float64 `yaml:"canary-slack"`          // requests that it may get in addition
+	RollbackSeconds     *float64 `yaml:"rollback-seconds"`      // time from the 50th bad response of a bad version to the last request sent to it
 }
 
 // Defaults for the limits that the platform omits.
@@ -70,6 +73,8 @@
 	defaultRepeatWindow     = 10 * time.Second
 	defaultRepeatSlack      = 10
 	defaultAnnounceInterval = 1500 * time.Millisecond
+	defaultCanarySlack      = 50
+	defaultRollback         = 5 * time.Second
 )
 
 // DrainPeriod returns the time from the notice that a server leaves to the last request
@@ -85,6 +90,15 @@
 	return secondsOr(b.RepeatWindowSeconds, defaultRepeatWindow), numberOr(b.RepeatRatio, defaultRepeatRatio), numberOr(b.RepeatSlack, defaultRepeatSlack)
 }
 
+// Rollout returns the limits on what a bad version may get in a roll-out, and whether the node
+// follows roll-outs.
+func (b SidecarBounds) Rollout() (share, slack float64, rollback time.Duration, ok bool) {
+	if b.CanaryShare == nil || *b.CanaryShare <= 0 {
+		return 0, 0, 0, false
+	}
+	return *b.CanaryShare, numberOr(b.CanarySlack, defaultCanarySlack), secondsOr(b.RollbackSeconds, defaultRollback), true
+}
+
 func secondsOr(s *float64, fallback time.Duration) time.Duration {
 	if s == nil {
 		return fallback
@@ -112,11 +126,17 @@
 		{"repeat-window-seconds", b.RepeatWindowSeconds, minBoundSeconds},
 		{"repeat-ratio", b.RepeatRatio, 0},
 		{"repeat-slack", b.RepeatSlack, 0},
+		{"canary-share", b.CanaryShare, 0},
+		{"canary-slack", b.CanarySlack, 0},
+		{"rollback-seconds", b.RollbackSeconds, minBoundSeconds},
 	} {
 		if n.value != nil && (*n.value < n.minimum || *n.value > maxBound) {
 			return "bounds." + n.key, fmt.Sprintf("%g is not between %g and %g", *n.value, n.minimum, float64(maxBound))
 		}
 	}
+	if b.CanaryShare != nil && *b.CanaryShare > 1 {
+		return "bounds.canary-share", fmt.Sprintf("%g is not between 0 and 1", *b.CanaryShare)
+	}
 	return "", ""
 }
 
