--- a/internal/fleet/rollout/decide.go
+++ b/internal/fleet/rollout/decide.go
@@ -11,8 +11,10 @@
 const (
 	shiftRatio    = 0.58 // at which all traffic is shifted to the target version
 	settleRatio   = 0.25 // for which what runs at the other servers may end
+	latestShift   = 0.66 // until which the shift waits for servers of the target version
 	lastStart     = 0.9  // after which a roll-out that has not shifted is rolled back
 	maxSettleTime = 4 * time.Second
+	minTargets    = 0.7 // servers of the target version, relative to the others, that the shift waits for
 )
 
 // Canary shares.
@@ -61,6 +63,8 @@
 	current := t.advance(now)
 	elapsed := now - r.Began
 	mayShift := r.Phase == Canary && elapsed >= share(r.Duration, shiftRatio) && f.IsFresh && f.Targets > 0
+	hasServers := float64(f.Targets) >= minTargets*float64(f.Others) || elapsed >= share(r.Duration, latestShift)
+	mayShift = mayShift && hasServers
 	maySettle := r.Phase == Shift && f.IsFresh && now-r.Since >= min(share(r.Duration, settleRatio), maxSettleTime)
 	threshold := float64(minScore)
 	if mayShift || maySettle {
@@ -74,7 +78,7 @@
 		return r.in(Shift, now, "no evidence against the version so far")
 	case maySettle:
 		return r.in(Settled, now, "no evidence against the version")
-	case r.Phase == Canary && elapsed >= share(r.Duration, lastStart):
+	case r.Phase == Canary && (f.IsFresh && elapsed >= share(r.Duration, lastStart) || elapsed >= r.Duration):
 		return r.in(RolledBack, now, fmt.Sprintf("the version could not be tried in time: %d servers of it accept requests", f.Targets))
 	case r.Phase == Canary:
 		return adjustShare(elapsed, r, t, f, l)
@@ -127,10 +131,9 @@
 		if !ok {
 			continue
 		}
-		recent := map[string]*[2]group{}
+		recent := map[string]*classSums{}
 		for class := range current.classes {
-			g := current.minus(earlier, class)
-			recent[class] = &g
+			recent[class] = current.minus(earlier, class)
 		}
 		if reason, ok := compareClasses(current.classes, recent, phase, minScore); ok {
 			return fmt.Sprintf("%s in %s", reason, w), true
@@ -141,20 +144,17 @@
 
 // compareClasses reports whether the recent responses of the target version are worse than those of
 // the others, in a class or over all classes. All are the responses since the order.
-func compareClasses(all, recent map[string]*[2]group, phase Phase, threshold float64) (string, bool) {
+func compareClasses(all, recent map[string]*classSums, phase Phase, threshold float64) (string, bool) {
 	var failures, slowness comparison
 	classes := make(map[string][2]comparison, len(recent))
 	limits := map[string]time.Duration{}
 	for class, now := range recent {
 		since := all[class]
-		f := comparison{
-			sample{now[targetGroup].bad, now[targetGroup].responses}, sample{now[otherGroup].bad, now[otherGroup].responses},
-			sample{since[otherGroup].bad, since[otherGroup].responses},
-		}
+		f := newComparison(now, since, func(g *group) sample { return sample{g.bad, g.responses} })
 		failures.add(f)
 		var s comparison
-		if limit, ok := slowLimit(since[otherGroup]); ok {
-			s = comparison{slower(now[targetGroup], limit), slower(now[otherGroup], limit), slower(since[otherGroup], limit)}
+		if limit, ok := slowLimit(since.others); ok {
+			s = newComparison(now, since, func(g *group) sample { return slower(g, limit) })
 			slowness.add(s)
 			limits[class] = limit
 		}
@@ -200,14 +200,32 @@
 	s.n += o.n
 }
 
-// comparison holds the responses of the target version, and those of the others at the same time
-// and since the order.
-type comparison struct{ target, recent, others sample }
+// comparison holds the responses of the target version, and those of the others since the order, at
+// the same time, and of these by data centre.
+type comparison struct {
+	target, others, recent sample
+	zones                  map[string]sample
+}
+
+func newComparison(now, since *classSums, count func(*group) sample) comparison {
+	c := comparison{count(&now.target), count(&since.others), count(&now.others), map[string]sample{}}
+	for zone, g := range now.zones {
+		c.zones[zone] = count(g)
+	}
+	return c
+}
 
 func (c *comparison) add(o comparison) {
 	c.target.add(o.target)
-	c.recent.add(o.recent)
 	c.others.add(o.others)
+	c.recent.add(o.recent)
+	if c.zones == nil {
+		c.zones = map[string]sample{}
+	}
+	for zone, s := range o.zones {
+		s.add(c.zones[zone])
+		c.zones[zone] = s
+	}
 }
 
 func (c comparison) text() string {
@@ -225,6 +243,11 @@
 	if c.recent.n >= priorTrials {
 		base = max(base, baseRatio(c.recent, usual))
 	}
+	for _, s := range c.zones {
+		if s.n >= priorTrials {
+			base = max(base, baseRatio(s, usual))
+		}
+	}
 	return isWorse(c.target, base, margin, threshold)
 }
 
@@ -261,7 +284,7 @@
 }
 
 // slower returns the number of slot times in buckets above limit, and of all.
-func slower(g group, limit time.Duration) sample {
+func slower(g *group, limit time.Duration) sample {
 	var s sample
 	for i, n := range g.times {
 		s.n += n
--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -23,6 +23,7 @@
 	perSecond  float64
 	servers    int // of each version
 	baseFails  float64
+	cutZone    bool // requests to servers of one data centre fail for some time
 	duration   time.Duration
 	rnd        *rand.Rand
 	rollout    Rollout
@@ -80,7 +81,7 @@
 		for v := range s.counters {
 			for i, c := range s.counters[v] {
 				if (now+time.Duration(7*i+3*v)*step)%interval == 0 { // nodes do not report at the same time
-					s.tally.Add(now, fmt.Sprint(v, "-", i), 1, c.Counts())
+					s.tally.Add(now, fmt.Sprint(v, "-", i), fmt.Sprint(i%3), 1, c.Counts())
 				}
 			}
 		}
@@ -133,7 +134,7 @@
 	s.all++
 	route := simulatedRoutes[s.rnd.IntN(len(simulatedRoutes))]
 	r := response{version: version, srv: i, route: route.name, took: time.Duration(float64(route.work) * (0.5 + s.rnd.Float64()))}
-	r.isBad = s.rnd.Float64() < s.baseFails
+	r.isBad = s.rnd.Float64() < s.baseFails || s.cutZone && i%3 == 0 && now > 3*time.Second && now < 5*time.Second && s.rnd.IntN(2) == 0
 	if version == 1 {
 		s.exposed++
 		s.lastSent = now
@@ -185,9 +186,11 @@
 		target    behaviour
 		baseFails float64
 		isGood    bool
+		cutZone   bool
 	}{
 		"good":                       {isGood: true},
 		"good, all fail some":        {baseFails: 0.2, isGood: true},
+		"good, a data centre is cut": {isGood: true, cutZone: true},
 		"bad at once":                {target: behaviour{failRatio: 0.4}},
 		"bad at once, all fail some": {target: behaviour{failRatio: 0.5}, baseFails: 0.1},
 		"fails always":               {target: behaviour{failRatio: 1}},
@@ -208,7 +211,7 @@
 					}
 					for seed := range uint64(10) {
 						s := &simulation{
-							target: target, baseFails: c.baseFails, perSecond: perSecond, servers: max(int(perSecond/33), 2), duration: duration,
+							target: target, baseFails: c.baseFails, cutZone: c.cutZone, perSecond: perSecond, servers: max(int(perSecond/33), 2), duration: duration,
 							rnd: rand.New(rand.NewPCG(seed, 1)),
 						}
 						s.run()
--- a/internal/fleet/rollout/tally.go
+++ b/internal/fleet/rollout/tally.go
@@ -98,7 +98,7 @@
 // safe for concurrent use. Use NewTally to create one.
 type Tally struct {
 	target  string
-	latest  map[source][]Count
+	latest  map[source]report
 	heardAt map[string]time.Duration // by node
 	history []sums                   // oldest first
 }
@@ -109,17 +109,24 @@
 	incarnation uint64
 }
 
-// sums are the counts of all nodes at one time, by class, for the target version and the others.
+// report holds the latest counts of a process and the data centre that it runs in.
+type report struct {
+	zone   string
+	counts []Count
+}
+
+// sums are the counts of all nodes at one time, by class.
 type sums struct {
 	at      time.Duration
-	classes map[string]*[2]group
+	classes map[string]*classSums
 }
 
-// Indexes of the groups in sums.
-const (
-	targetGroup = 0
-	otherGroup  = 1
-)
+// classSums holds the sums of the target version, of the others, and of these by data centre. A
+// cut link makes requests fail in one data centre, where the only canary server may be.
+type classSums struct {
+	target, others group
+	zones          map[string]*group
+}
 
 // group holds the sums of the counts of some versions.
 type group struct {
@@ -129,16 +136,16 @@
 
 // NewTally returns an empty tally for a roll-out to the target version.
 func NewTally(target string) *Tally {
-	return &Tally{target: target, latest: map[source][]Count{}, heardAt: map[string]time.Duration{}}
+	return &Tally{target: target, latest: map[source]report{}, heardAt: map[string]time.Duration{}}
 }
 
-// Add records the counts that a process of a node has reported. Counts that are older than the
+// Add records the counts that a process of a node in a data centre has reported. Counts that are older than the
 // known ones of that process are ignored.
-func (t *Tally) Add(now time.Duration, node string, incarnation uint64, counts []Count) {
+func (t *Tally) Add(now time.Duration, node, zone string, incarnation uint64, counts []Count) {
 	t.heardAt[node] = now
 	s := source{node, incarnation}
-	if total(counts) >= total(t.latest[s]) {
-		t.latest[s] = counts
+	if total(counts) >= total(t.latest[s].counts) {
+		t.latest[s] = report{zone, counts}
 	}
 }
 
@@ -151,10 +158,10 @@
 // Totals returns the numbers of responses and of failures of the target version and of the others.
 func (t *Tally) Totals() (target, targetBad, others, othersBad float64) {
 	for _, c := range t.sum(0).classes {
-		target += c[targetGroup].responses
-		targetBad += c[targetGroup].bad
-		others += c[otherGroup].responses
-		othersBad += c[otherGroup].bad
+		target += c.target.responses
+		targetBad += c.target.bad
+		others += c.others.responses
+		othersBad += c.others.bad
 	}
 	return target, targetBad, others, othersBad
 }
@@ -168,28 +175,36 @@
 
 // sum returns the sums of the latest counts.
 func (t *Tally) sum(now time.Duration) sums {
-	s := sums{now, map[string]*[2]group{}}
-	for _, counts := range t.latest {
-		for _, c := range counts {
-			groups, ok := s.classes[c.Class]
+	s := sums{now, map[string]*classSums{}}
+	for _, r := range t.latest {
+		for _, c := range r.counts {
+			class, ok := s.classes[c.Class]
 			if !ok {
-				groups = &[2]group{}
-				s.classes[c.Class] = groups
+				class = &classSums{zones: map[string]*group{}}
+				s.classes[c.Class] = class
 			}
-			g := &groups[otherGroup]
 			if c.Version == t.target {
-				g = &groups[targetGroup]
+				class.target.addCount(c)
+				continue
 			}
-			g.responses += float64(c.Responses)
-			g.bad += float64(c.Bad)
-			for i, n := range c.Times[:min(len(c.Times), bucketCount)] {
-				g.times[i] += float64(n)
+			class.others.addCount(c)
+			if class.zones[r.zone] == nil {
+				class.zones[r.zone] = &group{}
 			}
+			class.zones[r.zone].addCount(c)
 		}
 	}
 	return s
 }
 
+func (g *group) addCount(c Count) {
+	g.responses += float64(c.Responses)
+	g.bad += float64(c.Bad)
+	for i, n := range c.Times[:min(len(c.Times), bucketCount)] {
+		g.times[i] += float64(n)
+	}
+}
+
 // Intervals of the history that a tally keeps.
 const (
 	historyInterval = 200 * time.Millisecond
@@ -216,19 +231,29 @@
 	return sums{}, false
 }
 
-// minus returns the growth of the groups of a class since the earlier sums.
-func (s sums) minus(earlier sums, class string) [2]group {
-	g := *s.classes[class]
-	before, ok := earlier.classes[class]
-	if !ok {
-		return g
+// minus returns the growth of the sums of a class since the earlier ones.
+func (s sums) minus(earlier sums, class string) *classSums {
+	now, before := s.classes[class], earlier.classes[class]
+	if before == nil {
+		return now
+	}
+	grown := &classSums{now.target.minus(&before.target), now.others.minus(&before.others), make(map[string]*group, len(now.zones))}
+	for zone, g := range now.zones {
+		z := g.minus(before.zones[zone])
+		grown.zones[zone] = &z
 	}
-	for i := range g {
-		g[i].responses -= before[i].responses
-		g[i].bad -= before[i].bad
-		for b := range g[i].times {
-			g[i].times[b] -= before[i].times[b]
+	return grown
+}
+
+// minus returns the growth of the sums since o, which is nil if there were none.
+func (g *group) minus(o *group) group {
+	grown := *g
+	if o != nil {
+		grown.responses -= o.responses
+		grown.bad -= o.bad
+		for i := range grown.times {
+			grown.times[i] -= o.times[i]
 		}
 	}
-	return g
+	return grown
 }
--- a/internal/fleet/roster/rollout.go
+++ b/internal/fleet/roster/rollout.go
@@ -84,6 +84,11 @@
 	write     rolloutWrite
 }
 
+// isOver reports whether the roll-out ended so long ago that its outcome affects nothing.
+func (t *trackedRollout) isOver(now time.Duration) bool {
+	return t.Phase >= rollout.StoredRolledBack && now-t.Since >= outcomeTTL
+}
+
 // CountResponse counts a response of the server beside the node.
 func (r *Roster) CountResponse(version, class string, isBad, isCold bool, slotTime time.Duration) {
 	if r.rollouts.isCounting.Load() {
@@ -91,11 +96,14 @@
 	}
 }
 
-// rolloutMessages returns the roll-outs that are known.
+// rolloutMessages returns the roll-outs that are known, without those that ended long ago.
 func (s *state) rolloutMessages() []rolloutMessage {
 	now := s.r.cfg.Clock.Monotonic()
 	var list []rolloutMessage
 	for _, t := range s.rollouts {
+		if t.isOver(now) {
+			continue
+		}
 		list = append(list, rolloutMessage{
 			Service: t.Service, Target: t.Target, Name: t.Name, Duration: milliseconds(t.Duration), Phase: t.Phase, Step: t.Step, Share: t.Share,
 			Age: milliseconds(now - t.Began), PhaseAge: milliseconds(now - t.Since), Revision: t.Revision.Number, Era: t.Revision.Era,
@@ -129,7 +137,8 @@
 	for _, c := range m.Counts {
 		t, ok := s.rollouts[c.Service]
 		if ok && t.Target == c.Target && t.Phase.IsOpen() {
-			t.tally.Add(now, m.Node, c.Incarnation, c.Counts)
+			rec, _ := s.directory.Record(m.Node)
+			t.tally.Add(now, m.Node, rec.DataCentre, c.Incarnation, c.Counts)
 			if now-t.decidedAt >= decideInterval {
 				s.decide(t)
 			}
@@ -190,8 +199,7 @@
 		case rollout.RolledBack, rollout.StoredRolledBack:
 			rule.Use = canary.Others
 		}
-		isOver := t.Phase >= rollout.StoredRolledBack && now-t.Since >= outcomeTTL
-		if rule.Use == canary.All || isOver {
+		if rule.Use == canary.All || t.isOver(now) {
 			continue
 		}
 		if rules == nil {
@@ -207,8 +215,7 @@
 func (s *state) advanceRollouts() {
 	now := s.r.cfg.Clock.Monotonic()
 	for service, t := range s.rollouts {
-		_, hasRule := s.rules[service]
-		if hasRule && t.Phase >= rollout.StoredRolledBack && now-t.Since >= outcomeTTL {
+		if _, ok := s.rules[service]; ok && t.isOver(now) {
 			s.updateRules()
 		}
 		if t.Phase.IsOpen() {
@@ -249,7 +256,7 @@
 	counts := s.r.rollouts.Counts()
 	deciders := s.deciders(t)
 	if slices.ContainsFunc(deciders, func(rec server.Record) bool { return rec.Node == s.r.cfg.Self.Node }) {
-		t.tally.Add(now, s.r.cfg.Self.Node, s.r.cfg.Self.Incarnation, counts)
+		t.tally.Add(now, s.r.cfg.Self.Node, s.r.cfg.Self.DataCentre, s.r.cfg.Self.Incarnation, counts)
 	}
 	s.pushTo(deciders, Message{
 		Rollouts: s.rolloutMessages(),
--- a/internal/proxy/sidecar/rollout.go
+++ b/internal/proxy/sidecar/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/geraniumdock/geraniumdock/internal/call/canary"
 	"github.com/geraniumdock/geraniumdock/internal/fleet/rollout"
@@ -41,10 +42,20 @@
 	return canary.New(limits.CanaryShare(), rand.New(rand.NewPCG(seed.ForNode(st.Node, processSeed), 2)))
 }
 
+// lossInterval is the time within which lost responses count as one. A server that crashes loses
+// all that it runs at once.
+const lossInterval = 200 * time.Millisecond
+
+// countsLoss reports whether a response that is lost at now counts.
+func (s *Sidecar) countsLoss(now time.Duration) bool {
+	last := s.lostAt.Load()
+	return (last == 0 || now-time.Duration(last) >= lossInterval) && s.lostAt.CompareAndSwap(last, int64(now))
+}
+
 // countResponse counts a response of the server beside the node for a roll-out. A request that
 // did not run, or whose client has left, says nothing about the server.
 func (s *Sidecar) countResponse(o station.Outcome) {
-	if o.IsNotRun || o.IsLeft {
+	if o.IsNotRun || o.IsLeft || o.IsLost && !s.countsLoss(s.cfg.Clock.Monotonic()) {
 		return
 	}
 	isBad := o.Status == 0 || o.Status >= http.StatusInternalServerError
--- a/internal/proxy/sidecar/rollout_test.go
+++ b/internal/proxy/sidecar/rollout_test.go
@@ -13,13 +13,15 @@
 	"github.com/geraniumdock/geraniumdock/internal/standin/backend"
 	"github.com/geraniumdock/geraniumdock/internal/standin/catalogue"
 	"github.com/geraniumdock/geraniumdock/internal/standin/fleet"
+	"github.com/geraniumdock/geraniumdock/platform"
 )
 
 // rolloutDuration is that of the orders in these tests.
 const rolloutDuration = 6 * time.Second
 
 // startRollout starts a fleet with three servers of version v1 and clients, orders a roll-out to
-// v2, and starts three servers of it with the given faults.
+// v2, and starts three servers of it with the given faults. Beside the order there is an entry
+// that cannot be read.
 func startRollout(t *testing.T, faults backend.Faults) *fleet.Fleet {
 	is := is.New(t)
 	nodes := shopNodes(3)
@@ -39,6 +41,8 @@
 		})
 	}
 	t.Cleanup(func() { cancel(); running.Wait() })
+	_, err := f.Store.Put(ctx, "operator", platform.RolloutKind, "damaged", []byte(`{"service":"shop","targetVersion":[]}`), nil, 0, true)
+	is.NoErr(err)
 	is.NoErr(f.Order(rollout.Order{Service: "shop", Target: "v2", Duration: rolloutDuration}))
 	for _, n := range nodes {
 		n.Version = "v2"
@@ -106,3 +110,19 @@
 	}
 	awaitOutcome(t, f, rollout.StoredComplete)
 }
+
+// TestOutcomeIsStoredOnceTheStoreIsBack guards against an outcome that is lost because the store was
+// down when it was decided.
+func TestOutcomeIsStoredOnceTheStoreIsBack(t *testing.T) {
+	is := is.New(t)
+	f := startRollout(t, backend.Faults{})
+	is.NoErr(fleet.Await("the order is known", func() bool { return f.Outcome("shop") == rollout.Canary }))
+	f.Store.SetFaults(catalogue.Faults{Outage: catalogue.Busy})
+	time.Sleep(rolloutDuration)
+	old, _ := arrivals(f)
+	time.Sleep(300 * time.Millisecond)
+	oldLater, _ := arrivals(f)
+	is.Equal(oldLater, old) // the traffic was moved
+	f.Store.SetFaults(catalogue.Faults{})
+	awaitOutcome(t, f, rollout.StoredComplete)
+}
--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -74,6 +74,7 @@
 
 	listeners map[string]net.Listener
 	closing   atomic.Bool
+	lostAt    atomic.Int64 // monotonic time of the last lost response that was counted
 	cancel    context.CancelFunc
 	ctx       context.Context
 	done      chan struct{}
--- a/internal/proxy/station/serve.go
+++ b/internal/proxy/station/serve.go
@@ -98,7 +98,7 @@
 	s.cfg.Observe(Outcome{
 		TransitDelay: r.TransitDelay, SlotWait: began - arrived, SlotTime: s.now() - began, Status: status,
 		Class: r.Class, Version: sentTo.Version, IsCold: isCold, IsNotRun: a.Shed || a.Err != nil && !a.Reached,
-		IsLeft: a.Err != nil && hasClientLeft(ctx),
+		IsLeft: a.Err != nil && hasClientLeft(ctx), IsLost: a.Err != nil && ctx.Err() == nil,
 	})
 	if a.Err != nil || status >= http.StatusInternalServerError {
 		s.cfg.Log.Warn(event.RequestServed, "id", r.ID, "instance", s.instance(), "status", status, "reached", a.Reached,
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -63,6 +63,7 @@
 	IsCold   bool   // the server was still slow after its start when it got the request
 	IsNotRun bool   // the server states that it did not run the request, or could not be reached
 	IsLeft   bool   // the client disconnected before there was a response
+	IsLost   bool   // the connection to the server ended before there was a response
 }
 
 // Station serves one backend server. Use New.
@@ -166,6 +167,7 @@
 	if s.known && a.Started == s.server.Started && s.state == server.Gone || s.lastLeave.covers(a) {
 		return nil // a late announcement of a server that has left
 	}
+	isOtherVersion := s.known && a.Version != s.server.Version // adopted from a record that lacks it
 	isNew := !s.known || a.Started != s.server.Started || a.Instance != s.server.Instance
 	a.Draining = a.Draining || !isNew && s.server.Draining
 	previous := s.state
@@ -193,7 +195,7 @@
 	case !a.Draining:
 		s.state = server.Up
 	}
-	if isNew || previous != s.state {
+	if isNew || isOtherVersion || previous != s.state {
 		s.cfg.Log.Info(event.ServerAnnounced, "instance", a.Instance, "service", a.Service, "started", a.Started.String(),
 			"sequence", a.Sequence, "slots", a.Slots, "state", s.state.String(), "before", previous.String(), "cold-for", a.ColdStartRemaining.String())
 		s.publishRecord()
