--- a/internal/fleet/rollout/decide.go
+++ b/internal/fleet/rollout/decide.go
@@ -119,11 +119,13 @@
 
 // windows are the times over which counts are compared, besides the time since the order. A
 // version may become bad later.
+//
+// In a shorter time than minSlowWindow slot times are not compared, since servers are slow in bursts.
 var windows = []time.Duration{500 * time.Millisecond, 2 * time.Second}
 
 // evidence reports whether the target version is bad, and why.
 func (t *Tally) evidence(now time.Duration, current sums, phase Phase, threshold float64) (string, bool) {
-	if reason, ok := compareClasses(current.classes, current.classes, phase, threshold); ok {
+	if reason, ok := compareClasses(current.classes, current.classes, phase, threshold, true); ok {
 		return reason, true
 	}
 	for _, w := range windows {
@@ -135,7 +137,7 @@
 		for class := range current.classes {
 			recent[class] = current.minus(earlier, class)
 		}
-		if reason, ok := compareClasses(current.classes, recent, phase, minScore); ok {
+		if reason, ok := compareClasses(current.classes, recent, phase, minScore, w >= minSlowWindow); ok {
 			return fmt.Sprintf("%s in %s", reason, w), true
 		}
 	}
@@ -143,8 +145,9 @@
 }
 
 // compareClasses reports whether the recent responses of the target version are worse than those of
-// the others, in a class or over all classes. All are the responses since the order.
-func compareClasses(all, recent map[string]*classSums, phase Phase, threshold float64) (string, bool) {
+// the others, in a class or over all classes. All are the responses since the order. Slot times are
+// compared only withTimes.
+func compareClasses(all, recent map[string]*classSums, phase Phase, threshold float64, withTimes bool) (string, bool) {
 	var failures, slowness comparison
 	classes := make(map[string][2]comparison, len(recent))
 	limits := map[string]time.Duration{}
@@ -153,7 +156,7 @@
 		f := newComparison(now, since, func(g *group) sample { return sample{g.bad, g.responses} })
 		failures.add(f)
 		var s comparison
-		if limit, ok := slowLimit(since.others); ok {
+		if limit, ok := slowLimit(since.others); ok && withTimes {
 			s = newComparison(now, since, func(g *group) sample { return slower(g, limit) })
 			slowness.add(s)
 			limits[class] = limit
@@ -177,6 +180,8 @@
 	return "", false
 }
 
+const minSlowWindow = time.Second
+
 func inClass(class string) string {
 	if class == otherClasses {
 		return ""
@@ -236,8 +241,10 @@
 // the shift there are no others to compare with at the same time, so the margin is wider. Of a class
 // with few responses of the others, usual is the ratio over all classes.
 func (c comparison) isWorse(phase Phase, margin, threshold, usual float64) bool {
+	minimum := float64(minBad)
 	if phase != Canary {
 		margin += shiftMargin
+		minimum = minBadInShift
 	}
 	base := baseRatio(c.others, usual)
 	if c.recent.n >= priorTrials {
@@ -248,25 +255,27 @@
 			base = max(base, baseRatio(s, usual))
 		}
 	}
-	return isWorse(c.target, base, margin, threshold)
+	return c.target.bad >= minimum && isWorse(c.target, base, margin, threshold)
 }
 
 // Margins by which the ratio of bad responses of the target version must exceed that of the
 // others. After the shift there are no others to compare with at the same time.
 const (
-	minBad       = 3
-	failMargin   = 0.05
-	slowMargin   = 0.15
-	shiftMargin  = 0.03 // in addition, after the shift
-	clearMargin  = 0.01 // if the evidence is overwhelming
-	ratioFactor  = 1.5
-	priorTrials  = 20 // trials of which one is bad that are added to those of the others
-	minScore     = 10 // about the negative logarithm of the probability of chance, for one look at the counts
-	stepScore    = 6  // the same at a step that makes the version get more
-	classScore   = 2  // in addition for one class of several
-	clearScore   = 30
-	slowFactor   = 2.2 // ratio to the mean slot time of the others from which a response is slow
-	minBaseTimes = 4   // slot times of the others that are needed to say what is slow
+	minBad        = 3
+	minBadInShift = 6 // faults come in bursts, and others do not show these then
+	failMargin    = 0.05
+	slowMargin    = 0.15
+	shiftMargin   = 0.03 // in addition, after the shift
+	clearMargin   = 0.01 // if the evidence is overwhelming
+	ratioFactor   = 1.5
+	priorTrials   = 20 // trials of which one is bad that are added to those of the others
+	minScore      = 10 // about the negative logarithm of the probability of chance, for one look at the counts
+	stepScore     = 6  // the same at a step that makes the version get more
+	classScore    = 2  // in addition for one class of several
+	clearScore    = 30
+	slowFactor    = 2.2                   // ratio to the mean slot time of the others from which a response is slow
+	minSlowness   = 40 * time.Millisecond // a response that takes less longer than the mean is not slow: processors are busy at times
+	minBaseTimes  = 4                     // slot times of the others that are needed to say what is slow
 )
 
 // slowLimit returns the slot time from which a response counts as slow, which depends on the mean
@@ -280,7 +289,8 @@
 	if n < minBaseTimes {
 		return 0, false
 	}
-	return time.Duration(slowFactor * sum / n).Round(time.Millisecond), true
+	mean := time.Duration(sum / n)
+	return max(time.Duration(slowFactor*float64(mean)), mean+minSlowness).Round(time.Millisecond), true
 }
 
 // slower returns the number of slot times in buckets above limit, and of all.
@@ -308,7 +318,7 @@
 // isWorse reports whether the bad responses are too many for chance at the ratio base. The score
 // is a bound on the logarithm of that probability (Chernoff).
 func isWorse(s sample, base, margin, threshold float64) bool {
-	if s.bad < minBad || base >= 1 {
+	if s.n <= 0 || base >= 1 {
 		return false
 	}
 	ratio := min(s.bad/s.n, 1)
