--- a/internal/call/canary/canary.go
+++ b/internal/call/canary/canary.go
@@ -31,6 +31,7 @@
 	Use    Use
 	Target string  // version
 	Share  float64 // of the requests, for Share
+	Turn   int     // selects other servers for the share, so that more than a fast or a slow one is tried
 }
 
 // newFor is the time for which a version that a node sees first beside another one gets only a
@@ -147,7 +148,8 @@
 // responding returns the first of the targets whose nodes respond, as many as get the share.
 func (s *service) responding(isSilent func(node string) bool) []server.Record {
 	var list []server.Record
-	for _, r := range s.targets {
+	for i := range s.targets {
+		r := s.targets[(i+s.rule.Turn*s.canaries)%len(s.targets)]
 		if len(list) < s.canaries && !isSilent(r.Node) {
 			list = append(list, r)
 		}
--- a/internal/fleet/rollout/decide.go
+++ b/internal/fleet/rollout/decide.go
@@ -151,12 +151,13 @@
 	var failures, slowness comparison
 	classes := make(map[string][2]comparison, len(recent))
 	limits := map[string]time.Duration{}
+	targetSpeed := speed(all)
 	for class, now := range recent {
 		since := all[class]
 		f := newComparison(now, since, func(g *group) sample { return sample{g.bad, g.responses} })
 		failures.add(f)
 		var s comparison
-		if limit, ok := slowLimit(since.others); ok && withTimes {
+		if limit, ok := slowLimit(&since.others, targetSpeed); ok && withTimes {
 			s = newComparison(now, since, func(g *group) sample { return slower(g, limit) })
 			slowness.add(s)
 			limits[class] = limit
@@ -264,33 +265,59 @@
 	minBad        = 3
 	minBadInShift = 6 // faults come in bursts, and others do not show these then
 	failMargin    = 0.05
-	slowMargin    = 0.15
+	slowMargin    = 0.2
 	shiftMargin   = 0.03 // in addition, after the shift
-	clearMargin   = 0.01 // if the evidence is overwhelming
 	ratioFactor   = 1.5
 	priorTrials   = 20 // trials of which one is bad that are added to those of the others
 	minScore      = 10 // about the negative logarithm of the probability of chance, for one look at the counts
 	stepScore     = 6  // the same at a step that makes the version get more
 	classScore    = 2  // in addition for one class of several
-	clearScore    = 30
-	slowFactor    = 2.2                   // ratio to the mean slot time of the others from which a response is slow
+	clearScore    = 30 // from which part of the margin suffices
+	clearRatio    = 0.3
+	slowFactor    = 2.8                   // ratio to the mean slot time of the others from which a response is slow; the only canary server may be one of the slowest
 	minSlowness   = 40 * time.Millisecond // a response that takes less longer than the mean is not slow: processors are busy at times
-	minBaseTimes  = 4                     // slot times of the others that are needed to say what is slow
+	minSpeed      = 0.6
+	minSpeedTimes = 8 // slot times of each that are needed to say how fast the servers are
+	minBaseTimes  = 4 // slot times of the others that are needed to say what is slow
 )
 
-// slowLimit returns the slot time from which a response counts as slow, which depends on the mean
-// of the other versions. Servers differ in speed, so it is well above.
-func slowLimit(others group) (time.Duration, bool) {
-	n, sum := 0.0, 0.0
-	for i, count := range others.times {
+// meanTime returns the mean slot time and the number of slot times.
+func (g *group) meanTime() (mean time.Duration, n float64) {
+	sum := 0.0
+	for i, count := range g.times {
 		n += count
 		sum += count * float64(bucketStart(i)) * (1 + bucketRatio) / 2
 	}
+	if n == 0 {
+		return 0, 0
+	}
+	return time.Duration(sum / n), n
+}
+
+// slowLimit returns the slot time from which a response counts as slow, which depends on the mean
+// of the other versions. Servers differ in speed, so it is well above. It is lower if the servers
+// of the target version are known to be fast.
+func slowLimit(others *group, speed float64) (time.Duration, bool) {
+	mean, n := others.meanTime()
 	if n < minBaseTimes {
 		return 0, false
 	}
-	mean := time.Duration(sum / n)
-	return max(time.Duration(slowFactor*float64(mean)), mean+minSlowness).Round(time.Millisecond), true
+	return max(time.Duration(speed*slowFactor*float64(mean)), mean+minSlowness).Round(time.Millisecond), true
+}
+
+// speed returns the ratio of the mean slot times of the target version to those of the others, on
+// the route where it is lowest, between minSpeed and 1. A version that is slow on one route shows
+// on the others how fast its servers are.
+func speed(all map[string]*classSums) float64 {
+	lowest := 1.0
+	for _, c := range all {
+		target, n := c.target.meanTime()
+		others, m := c.others.meanTime()
+		if min(n, m) >= minSpeedTimes {
+			lowest = min(lowest, float64(target)/float64(others))
+		}
+	}
+	return max(lowest, minSpeed)
 }
 
 // slower returns the number of slot times in buckets above limit, and of all.
@@ -330,5 +357,5 @@
 		score += (1 - ratio) * math.Log((1-ratio)/(1-base))
 	}
 	score *= s.n
-	return score > threshold && ratio > ratioFactor*base+margin || score > clearScore && ratio > ratioFactor*base+clearMargin
+	return score > threshold && ratio > ratioFactor*base+margin || score > clearScore && ratio > ratioFactor*base+margin*clearRatio
 }
--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -32,6 +32,7 @@
 	knownAt    time.Duration
 	running    [2][][]time.Duration // by version and server: ends of the requests that run
 	counters   [2][]*Counter
+	speeds     [2][]float64
 	pending    []response
 	all, bad   int
 	exposed    int           // requests to the target version
@@ -66,6 +67,7 @@
 		s.running[v] = make([][]time.Duration, s.servers)
 		for range s.servers {
 			s.counters[v] = append(s.counters[v], &Counter{})
+			s.speeds[v] = append(s.speeds[v], 0.5+s.rnd.Float64())
 		}
 	}
 	const step = 10 * time.Millisecond
@@ -122,10 +124,11 @@
 	case s.known.Phase == Shift || s.known.Phase == StoredComplete:
 		version = 1
 	}
-	i := s.rnd.IntN(among)
-	for v, list := range s.running[version] {
-		if v < among && len(list) < len(s.running[version][i]) {
-			i = v
+	first := int(s.known.Step) * among
+	i := (first + s.rnd.IntN(among)) % s.servers
+	for k := range among {
+		if j := (first + k) % s.servers; len(s.running[version][j]) < len(s.running[version][i]) {
+			i = j
 		}
 	}
 	if version == 1 && s.known.Phase == Canary && len(s.running[1][i]) >= simulatedSlots {
@@ -133,7 +136,7 @@
 	}
 	s.all++
 	route := simulatedRoutes[s.rnd.IntN(len(simulatedRoutes))]
-	r := response{version: version, srv: i, route: route.name, took: time.Duration(float64(route.work) * (0.5 + s.rnd.Float64()))}
+	r := response{version: version, srv: i, route: route.name, took: time.Duration(float64(route.work) * (0.5 + s.rnd.Float64()) / s.speeds[version][i])}
 	r.isBad = s.rnd.Float64() < s.baseFails || s.cutZone && i%3 == 0 && now > 3*time.Second && now < 5*time.Second && s.rnd.IntN(2) == 0
 	if version == 1 {
 		s.exposed++
--- a/internal/fleet/roster/rollout.go
+++ b/internal/fleet/roster/rollout.go
@@ -193,7 +193,7 @@
 		rule := canary.Rule{Target: t.Target}
 		switch t.Phase {
 		case rollout.Canary:
-			rule.Use, rule.Share = canary.Share, t.Share
+			rule.Use, rule.Share, rule.Turn = canary.Share, t.Share, int(t.Step)
 		case rollout.Shift, rollout.Settled, rollout.StoredComplete:
 			rule.Use = canary.Target
 		case rollout.RolledBack, rollout.StoredRolledBack:
