--- a/internal/proxy/sidecar/sidecar.go
+++ b/internal/proxy/sidecar/sidecar.go
@@ -84,6 +84,7 @@
 
 	listeners map[string]net.Listener
 	closing   atomic.Bool
+	lostAt    atomic.Int64 // monotonic time of the last lost response that was counted
 	cancel    context.CancelFunc
 	ctx       context.Context
 	done      chan struct{}
@@ -120,6 +121,7 @@
 		OnAdoption:  func(r server.Record) { s.station.Adopt(r) },
 		OnLeave:     func(r server.Record) { s.station.HandleLeave(r.Instance, r.Started) },
 		OnDeparture: s.handleDeparture,
+		Rollouts:    rolloutConfig(st),
 	})
 	bodies := body.NewBudget(st.BodyBytes(), cfg.Clock.Monotonic, s.bodyLogger())
 	s.station = station.New(station.Config{
@@ -132,6 +134,7 @@
 		Verdict:  func(fp quarantine.Fingerprint) quarantine.Verdict { return s.verdict(fp) },
 		Innocent: s.recordInnocent,
 		Observe: func(o station.Outcome) {
+			s.countResponse(o)
 			cfg.Meter.CountServerRequest(o.Status, meter.ServerTiming{TransitDelay: o.TransitDelay, SlotWait: o.SlotWait, SlotTime: o.SlotTime})
 		},
 	})
@@ -146,6 +149,7 @@
 		Quota:     s.quota,
 		Limits:    retryBudget(st.Bounds),
 		Hedging:   hedge.Limits{MaxShare: st.Hedging.MaxShare, Percentile: st.Hedging.DelayPercentile()},
+		Versions:  versionFilter(st, cfg.Seed),
 		Clock:     cfg.Clock,
 		Log:       cfg.Log,
 		Random:    rand.New(rand.NewPCG(seed.ForNode(st.Node, cfg.Seed), 1)),
@@ -262,6 +266,7 @@
 	m.Gauge("geraniumdock_server_limit", s.station.Limit)
 	m.Gauge("geraniumdock_server_requests", func() float64 { return float64(s.station.Sent()) })
 	m.Gauge("geraniumdock_workspaces_over_share", func() float64 { return float64(s.station.WorkspacesOver()) })
+	s.registerRolloutGauges()
 	m.Gauge("geraniumdock_waiting", func() float64 { return float64(s.station.Load().Waiting) })
 }
 
--- a/internal/proxy/station/station.go
+++ b/internal/proxy/station/station.go
@@ -60,6 +60,13 @@
 type Outcome struct {
 	TransitDelay, SlotWait, SlotTime time.Duration
 	Status                           int // of the HTTP response, 0 if there was none
+
+	Class    string // of the request
+	Version  string // of the server's software
+	IsCold   bool   // the server was still slow after its start when it got the request
+	IsNotRun bool   // the server states that it did not run the request, or could not be reached
+	IsLeft   bool   // the client disconnected before there was a response
+	IsLost   bool   // the connection to the server ended before there was a response
 }
 
 // Station serves one backend server. Use New.
@@ -163,6 +170,7 @@
 	if s.known && a.Started == s.server.Started && s.state == server.Gone || s.lastLeave.covers(a) {
 		return nil // a late announcement of a server that has left
 	}
+	isOtherVersion := s.known && a.Version != s.server.Version // adopted from a record that lacks it
 	isNew := !s.known || a.Started != s.server.Started || a.Instance != s.server.Instance
 	a.Draining = a.Draining || !isNew && s.server.Draining
 	previous := s.state
@@ -190,7 +198,7 @@
 	case !a.Draining:
 		s.state = server.Up
 	}
-	if isNew || previous != s.state {
+	if isNew || isOtherVersion || previous != s.state {
 		s.cfg.Log.Info(event.ServerAnnounced, "instance", a.Instance, "service", a.Service, "started", a.Started.String(),
 			"sequence", a.Sequence, "slots", a.Slots, "state", s.state.String(), "before", previous.String(), "cold-for", a.ColdStartRemaining.String())
 		s.publishRecord()
@@ -264,7 +272,7 @@
 	if s.known || s.nodeDraining {
 		return
 	}
-	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Address: s.cfg.Address}
+	s.server = platform.Announcement{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Started: r.Started, Version: r.Version, Address: s.cfg.Address}
 	s.known, s.state = true, server.Up
 	s.confirmBy = s.startedAt + confirmIntervals*s.cfg.AnnounceInterval
 	s.awaited.isPending = s.isOlderThanProcess(r.Started)
@@ -309,6 +317,7 @@
 		Instance: s.server.Instance,
 		Slots:    s.server.Slots,
 		Started:  s.server.Started,
+		Version:  s.server.Version,
 		State:    s.state,
 		HasLeft:  s.state == server.Gone,
 	})
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -67,6 +67,9 @@
 	BodyMB              *float64 `yaml:"body-mb"`               // memory of all request bodies
 	BodyProgressSeconds *float64 `yaml:"body-progress-seconds"` // time within which a KiB of a request body must arrive
 	ClientConnections   *float64 `yaml:"client-connections"`    // open connections of clients
+	CanaryShare         *float64 `yaml:"canary-share"`          // part of the requests that a bad version may get in a roll-out; without it nodes follow no roll-outs
+	CanarySlack         *float64 `yaml:"canary-slack"`          // requests that it may get in addition
+	RollbackSeconds     *float64 `yaml:"rollback-seconds"`      // time from the 50th bad response of a bad version to the last request sent to it
 }
 
 // Defaults for the limits that the platform omits.
@@ -80,6 +83,8 @@
 	defaultQuotaWindow      = 5 * time.Second
 	defaultQuotaOverage     = 0.1
 	defaultQuotaSlack       = 20
+	defaultCanarySlack      = 50
+	defaultRollback         = 5 * time.Second
 )
 
 // DrainPeriod returns the time from the notice that a server leaves to the last request
@@ -101,6 +106,15 @@
 	return secondsOr(b.QuotaWindowSeconds, defaultQuotaWindow), numberOr(b.QuotaOverageRatio, defaultQuotaOverage), numberOr(b.QuotaSlack, defaultQuotaSlack)
 }
 
+// Rollout returns the limits on what a bad version may get in a roll-out, and whether the node
+// follows roll-outs.
+func (b SidecarBounds) Rollout() (share, slack float64, rollback time.Duration, ok bool) {
+	if b.CanaryShare == nil || *b.CanaryShare <= 0 {
+		return 0, 0, 0, false
+	}
+	return *b.CanaryShare, numberOr(b.CanarySlack, defaultCanarySlack), secondsOr(b.RollbackSeconds, defaultRollback), true
+}
+
 func secondsOr(s *float64, fallback time.Duration) time.Duration {
 	if s == nil {
 		return fallback
@@ -134,11 +148,17 @@
 		{"body-mb", b.BodyMB, 1},
 		{"body-progress-seconds", b.BodyProgressSeconds, minBoundSeconds},
 		{"client-connections", b.ClientConnections, 1},
+		{"canary-share", b.CanaryShare, 0},
+		{"canary-slack", b.CanarySlack, 0},
+		{"rollback-seconds", b.RollbackSeconds, minBoundSeconds},
 	} {
 		if n.value != nil && (*n.value < n.minimum || *n.value > maxBound) {
 			return "bounds." + n.key, fmt.Sprintf("%g is not between %g and %g", *n.value, n.minimum, float64(maxBound))
 		}
 	}
+	if b.CanaryShare != nil && *b.CanaryShare > 1 {
+		return "bounds.canary-share", fmt.Sprintf("%g is not between 0 and 1", *b.CanaryShare)
+	}
 	return "", ""
 }
 
