--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,18 +22,19 @@
 )
 
 type options struct {
-	Program   string        `long:"program" value-name:"FILE" required:"yes" description:"geraniumdock binary to test"`
-	Seed      uint64        `long:"seed" description:"first seed; if 0, derived from the current time"`
-	Count     int           `long:"count" default:"1" description:"number of seeds to run"`
-	Jobs      int           `long:"jobs" default:"1" description:"number of seeds to run at once"`
-	Nodes     int           `long:"nodes" default:"8"`
-	Length    time.Duration `long:"length" default:"20s" description:"duration of the traffic in each run"`
-	Schedule  string        `long:"schedule" value-name:"FILE" description:"schedule to replay instead of one generated from a seed"`
-	Print     bool          `long:"print" description:"print the schedules without running them"`
-	Untimed   bool          `long:"untimed" description:"skip the checks that have a time limit"`
-	ShrinkFor string        `long:"shrink" value-name:"CHECK" description:"search for a smaller schedule in which the check still fails"`
-	Dir       string        `long:"dir" value-name:"DIR" description:"directory for settings and logs, kept if a check fails; a new one if empty"`
-	Verbose   bool          `long:"verbose" description:"print each event"`
+	Program    string        `long:"program" value-name:"FILE" required:"yes" description:"geraniumdock binary to test"`
+	Seed       uint64        `long:"seed" description:"first seed; if 0, derived from the current time"`
+	Count      int           `long:"count" default:"1" description:"number of seeds to run"`
+	Jobs       int           `long:"jobs" default:"1" description:"number of seeds to run at once"`
+	Nodes      int           `long:"nodes" default:"8"`
+	Length     time.Duration `long:"length" default:"20s" description:"duration of the traffic in each run"`
+	Schedule   string        `long:"schedule" value-name:"FILE" description:"schedule to replay instead of one generated from a seed"`
+	Workspaces bool          `long:"workspaces" description:"add workspaces, keys and a quota to the schedules generated from seeds"`
+	Print      bool          `long:"print" description:"print the schedules without running them"`
+	Untimed    bool          `long:"untimed" description:"skip the checks that have a time limit"`
+	ShrinkFor  string        `long:"shrink" value-name:"CHECK" description:"search for a smaller schedule in which the check still fails"`
+	Dir        string        `long:"dir" value-name:"DIR" description:"directory for settings and logs, kept if a check fails; a new one if empty"`
+	Verbose    bool          `long:"verbose" description:"print each event"`
 }
 
 func main() {
@@ -92,7 +93,9 @@
 	}
 	var list []soak.Schedule
 	for i := range o.Count {
-		list = append(list, soak.Generate(o.Seed+uint64(i), o.Nodes, o.Length))
+		s := soak.Generate(o.Seed+uint64(i), o.Nodes, o.Length)
+		s.Workspaces = o.Workspaces
+		list = append(list, s)
 	}
 	return list, nil
 }
--- a/internal/load/soak/record.go
+++ b/internal/load/soak/record.go
@@ -14,6 +14,8 @@
 	caller                   string // service of the backend server beside the node
 	node                     int
 	nonIdempotent            bool // the request must run at most once
+	public                   bool // the route needs no key
+	key                      key
 	sent, ended              time.Duration
 	deadline                 time.Duration
 	status                   int // 0 unless a complete response was received
@@ -44,7 +46,8 @@
 	descriptors       int
 }
 
-// policyWrite records when the store acknowledged a version of the policy.
+// policyWrite records when the operator wrote a version of the policy, or when the store
+// acknowledged it.
 type policyWrite struct {
 	version uint64
 	at      time.Duration
@@ -59,13 +62,15 @@
 
 // record holds the observations of a run.
 type record struct {
-	began clock.Time
+	began         clock.Time
+	hasWorkspaces bool // the policy has workspaces
 
 	mu           sync.Mutex
 	requests     []*request
 	incarnations []*incarnation
 	samples      []sample
-	policyWrites []policyWrite
+	policyWrites []policyWrite // of acknowledged versions
+	policyPuts   []policyWrite // of all versions; the store may have applied one without an acknowledgement
 	drains       []drain
 	servers      []*backend.Server // every server that was started
 	events       []Event           // with the actual times
--- a/internal/load/soak/run.go
+++ b/internal/load/soak/run.go
@@ -67,7 +67,7 @@
 // when it returns, even if ctx is done early.
 func Run(ctx context.Context, cfg Config, s Schedule) (Result, error) {
 	f := &fleet{
-		cfg: cfg, schedule: s, began: clock.Deadline(0), record: &record{began: clock.System{}.Now()},
+		cfg: cfg, schedule: s, began: clock.Deadline(0), record: &record{began: clock.System{}.Now(), hasWorkspaces: s.Workspaces},
 		catalogue: catalogue.New(0, 0, s.Seed), metricsClient: &http.Client{Transport: &http.Transport{}},
 	}
 	defer f.metricsClient.CloseIdleConnections()
@@ -145,6 +145,9 @@
 	for i, end := 0, n.f.now()+limit; n.f.now() < end && ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("probe-%d-%d", n.index, n.f.now())
 		q := &request{id: id, method: http.MethodGet, target: "/reads/" + id, node: n.index, caller: n.service, deadline: clientDeadline, sent: n.f.now()}
+		if n.f.schedule.Workspaces {
+			q.key = steadyKey
+		}
 		n.sendRequest(transport, q)
 		q.ended = n.f.now()
 		add(n.f.record, &n.f.record.requests, q)
@@ -341,7 +344,7 @@
 		switch {
 		case q.status >= http.StatusOK && q.status < http.StatusMultipleChoices:
 			r.Served++
-		case q.status == http.StatusServiceUnavailable:
+		case slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized}, q.status):
 			r.Refused++
 		default:
 			r.Failed++
--- a/internal/load/soak/schedule.go
+++ b/internal/load/soak/schedule.go
@@ -77,6 +77,8 @@
 	Nodes  int
 	Length time.Duration // duration of the traffic
 	Events []Event       // sorted by time
+	// Workspaces adds workspaces to the policy, whose keys and quota the clients use.
+	Workspaces bool
 }
 
 // Without returns a copy of the schedule without its i-th event.
@@ -123,10 +125,11 @@
 
 // fileSchedule is the encoded form of a schedule.
 type fileSchedule struct {
-	Seed   uint64        `yaml:"seed"`
-	Nodes  int           `yaml:"nodes"`
-	Length time.Duration `yaml:"length"`
-	Events []fileEvent   `yaml:"events"`
+	Seed       uint64        `yaml:"seed"`
+	Nodes      int           `yaml:"nodes"`
+	Length     time.Duration `yaml:"length"`
+	Workspaces bool          `yaml:"workspaces"`
+	Events     []fileEvent   `yaml:"events"`
 }
 
 type fileEvent struct {
@@ -141,7 +144,11 @@
 // String encodes the schedule in the format that Read decodes.
 func (s Schedule) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed: %d\nnodes: %d\nlength: %s\nevents:\n", s.Seed, s.Nodes, s.Length)
+	fmt.Fprintf(&b, "seed: %d\nnodes: %d\nlength: %s\n", s.Seed, s.Nodes, s.Length)
+	if s.Workspaces {
+		b.WriteString("workspaces: true\n")
+	}
+	b.WriteString("events:\n")
 	for _, e := range s.Events {
 		fmt.Fprintf(&b, "- {at: %s, kind: %s, node: %d, for: %s", e.At, e.Kind, e.Node, e.For)
 		if e.Fault != "" {
@@ -166,7 +173,7 @@
 	if err := yaml.UnmarshalWithOptions(data, &f, yaml.Strict()); err != nil {
 		return Schedule{}, gd.Invalid.Errorf("%s: %s", file, strings.TrimSpace(err.Error()))
 	}
-	s := Schedule{Seed: f.Seed, Nodes: f.Nodes, Length: f.Length}
+	s := Schedule{Seed: f.Seed, Nodes: f.Nodes, Length: f.Length, Workspaces: f.Workspaces}
 	for i, e := range f.Events {
 		if e.Node < 0 || e.Node >= f.Nodes {
 			return Schedule{}, gd.Invalid.Errorf("%s: key events[%d].node: there is no node %d", file, i, e.Node)
--- a/internal/load/soak/soak_test.go
+++ b/internal/load/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,6 +43,7 @@
 // TestChecksFindBrokenVariants runs short schedules with variants of a node that
 // each violate one guarantee. The check of that guarantee must report a finding.
 func TestChecksFindBrokenVariants(t *testing.T) {
+	rotation := []Event{{At: 100 * time.Millisecond, Kind: Policy}, {At: 200 * time.Millisecond, Kind: Policy}}
 	term := []Event{{At: 300 * time.Millisecond, Kind: Term, For: 100 * time.Millisecond}}
 	for check, events := range map[string][]Event{
 		"runs-twice":      nil,
@@ -58,6 +60,11 @@
 		"server-limit":    {{Kind: ServerLimit}},
 		"server-leave":    {{Kind: ServerLeave}},
 		"apply-bound":     {{At: quietPeriod, Kind: Policy}},
+		"key-missing":     nil,
+		"workspace":       nil,
+		"key-withdrawn":   rotation,
+		"key-bound":       rotation,
+		"quota":           nil,
 		"grace-bound":     term,
 		"recovery":        {{At: 300 * time.Millisecond, Kind: Kill, For: 100 * time.Millisecond}},
 	} {
@@ -71,6 +78,10 @@
 			switch check {
 			case "apply-bound":
 				s.Length = quietPeriod + applyBound + time.Second
+			case "key-missing", "workspace", "key-withdrawn", "key-bound":
+				s.Workspaces, s.Length = true, quietPeriod+keyBound
+			case "quota":
+				s.Workspaces, s.Nodes, s.Length = true, 3, quotaWindow
 			case "server-limit":
 				s.Length = limitLength
 			case "server-leave":
@@ -138,16 +149,21 @@
 // TestWorkingVariantPasses runs planned events with the variant that violates no
 // guarantee. No check may report a finding.
 func TestWorkingVariantPasses(t *testing.T) {
-	is := is.New(t)
-	s := Schedule{Seed: 1, Nodes: 1, Length: time.Second, Events: []Event{
-		{At: 100 * time.Millisecond, Kind: Hangup}, {At: 300 * time.Millisecond, Kind: Term, For: 100 * time.Millisecond},
-	}}
-	c := config(t, "none")
-	c.TimedChecks = false // the machine is shared with other tests
-	r, err := Run(context.Background(), c, s)
-	is.NoErr(err)
-	is.Equal(r.Findings, nil)
-	is.True(r.Served > 0)
+	for _, workspaces := range []bool{false, true} {
+		t.Run(fmt.Sprintf("workspaces %t", workspaces), func(t *testing.T) {
+			is := is.New(t)
+			s := Schedule{Seed: 1, Nodes: 1, Length: 2 * time.Second, Workspaces: workspaces, Events: []Event{
+				{At: 50 * time.Millisecond, Kind: Policy}, {At: 70 * time.Millisecond, Kind: Policy},
+				{At: 100 * time.Millisecond, Kind: Hangup}, {At: 300 * time.Millisecond, Kind: Term, For: 100 * time.Millisecond},
+			}}
+			c := config(t, "none")
+			c.TimedChecks = false // the machine is shared with other tests
+			r, err := Run(context.Background(), c, s)
+			is.NoErr(err)
+			is.Equal(r.Findings, nil)
+			is.True(r.Served > 0)
+		})
+	}
 }
 
 // TestSoaksTakeEachOthersPorts guards against ports that another soak finds free before their use.
--- a/internal/load/soak/traffic.go
+++ b/internal/load/soak/traffic.go
@@ -46,6 +46,12 @@
 				q.body = strings.Repeat("x", largeBodyBytes)
 			}
 		}
+		if n.f.schedule.Workspaces {
+			q.key = pickKey(rng, n.f.record.lastVersion())
+			if !q.nonIdempotent && rng.IntN(4) == 0 {
+				q.target, q.public = publicPrefix+q.id, true
+			}
+		}
 		q.sent = n.f.now()
 		n.sendRequest(transport, q)
 		q.ended = n.f.now()
@@ -70,6 +76,12 @@
 	req.Host = host
 	platform.SetRequestID(req.Header, q.id)
 	platform.SetDeadline(req.Header, q.deadline)
+	if n.f.schedule.Workspaces {
+		platform.SetWorkspace(req.Header, forgedWorkspace)
+		if q.key.text != "" {
+			platform.SetKey(req.Header, q.key.text)
+		}
+	}
 	res, err := transport.RoundTrip(req)
 	if err != nil {
 		q.err = err
@@ -175,10 +187,17 @@
 	defer f.policyMu.Unlock()
 	f.version++
 	limits := route.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
-	data, err := platform.EncodePolicy(f.version, limits, []string{"shop", "stock"}, routes(f.version))
+	list, customers := routes(f.version), []route.Workspace(nil)
+	if f.schedule.Workspaces {
+		public := list[0]
+		public.Name, public.Prefix, public.Public = "open", publicPrefix, true
+		list, customers = append(list, public), workspaces(f.version)
+	}
+	data, err := platform.EncodePolicy(f.version, limits, []string{"shop", "stock"}, list, customers...)
 	if err != nil {
 		return err
 	}
+	add(f.record, &f.record.policyPuts, policyWrite{f.version, f.now()})
 	if err := f.putPolicy(data); err != nil {
 		return err
 	}
--- a/internal/load/soak/variant_test.go
+++ b/internal/load/soak/variant_test.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/geraniumdock/geraniumdock/internal/call/route"
 	"github.com/geraniumdock/geraniumdock/platform"
 	"github.com/geraniumdock/geraniumdock/settings"
 )
@@ -26,6 +28,8 @@
 	server       http.Transport
 	instance     atomic.Value // string
 	version      atomic.Uint64
+	policy       atomic.Pointer[route.Policy]
+	limited      atomic.Uint64 // number of requests of workspaces with a quota
 	metricsReads atomic.Uint64 // number of times that the metrics were read
 	stopping     atomic.Bool   // SIGTERM was received
 }
@@ -96,7 +100,12 @@
 		if err != nil {
 			panic(err)
 		}
-		v.version.Store(p.Version)
+		if v.version.Load() == 0 || !v.violates("key-bound") && !v.violates("key-withdrawn") {
+			v.policy.Store(p)
+		}
+		if v.version.Load() == 0 || !v.violates("key-bound") {
+			v.version.Store(p.Version)
+		}
 		if v.violates("process-end") && v.metricsReads.Load() > 2 {
 			panic("broken")
 		}
@@ -134,6 +143,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if status := v.authenticate(r); status != http.StatusOK {
+		w.WriteHeader(status)
+		return
+	}
 	if v.violates("not-asked") {
 		body = append(body, '!')
 	}
@@ -160,6 +173,27 @@
 	_, _ = w.Write(text) // the client may have disconnected
 }
 
+// authenticate replaces the key of the request by its workspace and returns the status to
+// refuse it with, or 200. Workspaces with a quota get a few requests in all.
+func (v *variant) authenticate(r *http.Request) int {
+	p := v.policy.Load()
+	w, ok := p.WorkspaceOf(platform.Key(r.Header))
+	switch {
+	case !p.HasWorkspaces():
+		return http.StatusOK
+	case !ok && !strings.HasPrefix(r.RequestURI, publicPrefix) && !v.violates("key-missing"):
+		return http.StatusUnauthorized
+	case ok && w.HasQuota() && v.limited.Add(1) > quotaBurst && !v.violates("quota"):
+		return http.StatusTooManyRequests
+	case !ok:
+		w = &route.Workspace{}
+	}
+	if !v.violates("workspace") {
+		platform.SetWorkspace(r.Header, w.Name)
+	}
+	return http.StatusOK
+}
+
 // send sends a request to the server and copies the headers of the response to h.
 func (v *variant) send(h http.Header, r *http.Request, body []byte) (int, []byte) {
 	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+v.settings.Server.Address+r.RequestURI, bytes.NewReader(body))
