--- a/internal/load/soak/workspace.go
+++ b/internal/load/soak/workspace.go
@@ -86,7 +86,7 @@
 }
 
 // runsWithoutKey finds requests to routes that are not public which ran with no key or with
-// one that no version holds.
+// one that no version holds. It guards against an ingress that does not authenticate them.
 func (o *observations) runsWithoutKey() (found []string) {
 	for _, q := range o.requests {
 		if o.hasWorkspaces && !q.public && q.key.workspace == "" && len(o.runs[q.id]) > 0 {
@@ -98,6 +98,7 @@
 
 // wrongWorkspaces finds runs for which the server got the client's key or another workspace
 // than that of the key. On a public route a key may be withdrawn and the workspace be missing.
+// It guards against nodes that forward the key, or the workspace that the client claims.
 func (o *observations) wrongWorkspaces() (found []string) {
 	for _, q := range o.requests {
 		for _, r := range o.runs[q.id] {
@@ -116,7 +117,7 @@
 }
 
 // withdrawnKeys finds requests that a process served although it had reported a version
-// without their keys before.
+// without their keys before. It guards against keys that outlive their versions in a process.
 func (o *observations) withdrawnKeys() (found []string) {
 	for _, q := range o.requests {
 		for _, s := range o.samples {
@@ -131,7 +132,8 @@
 
 // lateKeys finds requests that ran with a key later than keyBound after the store
 // acknowledged a version without it, or that were refused later than keyBound after it
-// acknowledged the version that added the key, at nodes without disturbance.
+// acknowledged the version that added the key, at nodes without disturbance. It guards against
+// versions that spread too slowly.
 func (o *observations) lateKeys() (found []string) {
 	for _, q := range o.requests {
 		if q.key.workspace == "" || !o.isUndisturbed(q.node, q.sent) {
@@ -159,7 +161,8 @@
 }
 
 // runsOverQuota finds the first window in which more requests of limitedWorkspace were
-// sent and ran than its quota allows.
+// sent and ran than its quota allows. It guards against tokens that are issued or spent twice,
+// such as by issuers that restart or are replaced.
 func (o *observations) runsOverQuota() []string {
 	var sent []time.Duration
 	for _, q := range o.requests {
