--- a/internal/load/soak/process.go
+++ b/internal/load/soak/process.go
@@ -129,11 +129,9 @@
 	var list []string
 	for range portCount {
 		address := netip.AddrPortFrom(hostOf(os.Getpid()), uint16(firstPort+nextPort.Add(1)%portCount)).String()
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // the port is in use
+		if !isFree(address) {
+			continue
 		}
-		l.Close()
 		if list = append(list, address); len(list) == count {
 			return list, nil
 		}
@@ -141,6 +139,20 @@
 	return nil, gd.Unavailable.Errorf("no free port from %d to %d", firstPort, firstPort+portCount)
 }
 
+// isFree reports whether the address can be listened on. No process is started meanwhile:
+// until it executes its program, it would hold a copy of the listening socket, and the
+// address would be in use.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	l.Close()
+	return true
+}
+
 // start starts the process of the node unless it is running.
 func (n *node) start() error {
 	n.mu.Lock()
