--- a/internal/call/placement/placement.go
+++ b/internal/call/placement/placement.go
@@ -72,6 +72,12 @@
 	rnd        *rand.Rand
 	nodes      map[string]*estimate
 	size       map[string]float64 // mean size of request and response by class
+
+	// Buffers of Next, Choose and sample, which would otherwise copy the records of a large
+	// service for each node that a request is offered to.
+	full                      []server.Record
+	reachable, paused, sorted []*server.Record
+	candidates                []Candidate
 }
 
 // estimate is what is known about one node and its server.
@@ -104,10 +110,11 @@
 // tried. It returns the server with the lowest cost and the servers that it
 // compared. An unreachable node is chosen for one request after its pause. During
 // the pause it is only chosen if there is no other node and none has been tried.
-// Choose reports false if no node is left.
+// Choose reports false if no node is left. The candidates are valid until the next call.
 func (e *Estimates) Choose(now time.Duration, class string, serving []server.Record, tried []string) (server.Record, []Candidate, bool) {
-	var reachable, paused []server.Record
-	for _, r := range serving {
+	reachable, paused := e.reachable[:0], e.paused[:0]
+	for i := range serving {
+		r := &serving[i]
 		switch {
 		case slices.Contains(tried, r.Node):
 		case e.isPaused(now, r):
@@ -116,6 +123,7 @@
 			reachable = append(reachable, r)
 		}
 	}
+	e.reachable, e.paused = reachable, paused
 	eligible := reachable
 	if len(eligible) == 0 && len(tried) == 0 {
 		eligible = paused
@@ -123,25 +131,26 @@
 	if len(eligible) == 0 {
 		return server.Record{}, nil, false
 	}
-	var best server.Record
-	var candidates []Candidate
+	var best *server.Record
+	candidates := e.candidates[:0]
 	least := time.Duration(math.MaxInt64)
 	for _, r := range e.sample(eligible) {
 		cost := e.Cost(now, class, r)
 		candidates = append(candidates, Candidate{r.Node, cost})
-		if cost < least {
+		if best == nil || cost < least {
 			best, least = r, cost
 		}
 	}
+	e.candidates = candidates
 	if n := e.estimateOf(best.Node); n.pause > 0 {
 		n.retryAt = now + n.pause // a single request tests whether the node is reachable
 	}
-	return best, candidates, true
+	return *best, candidates, true
 }
 
 // isPaused reports whether the node is in the pause after a failure to reach it.
 // A restart of the node ends the pause.
-func (e *Estimates) isPaused(now time.Duration, r server.Record) bool {
+func (e *Estimates) isPaused(now time.Duration, r *server.Record) bool {
 	n, ok := e.nodes[r.Node]
 	if !ok || n.pause == 0 {
 		return false
@@ -153,26 +162,36 @@
 	return now < n.retryAt
 }
 
-// sample returns a random subset of records. It prefers servers of the node's own
-// data centre.
-func (e *Estimates) sample(records []server.Record) []server.Record {
+// sample returns a random subset of records, whose order it changes. It prefers servers of the
+// node's own data centre.
+func (e *Estimates) sample(records []*server.Record) []*server.Record {
 	e.rnd.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
 	if len(records) <= sampleSize {
 		return records
 	}
-	slices.SortStableFunc(records, func(a, b server.Record) int {
-		return e.distance(a) - e.distance(b)
-	})
+	sorted := e.sorted[:0] // by distance
+	for distance := range maxDistance + 1 {
+		for _, r := range records {
+			if e.distance(r) == distance {
+				sorted = append(sorted, r)
+			}
+		}
+	}
+	e.sorted = sorted
 	near := 0
-	for near < len(records) && e.distance(records[near]) == 0 {
+	for near < len(sorted) && e.distance(sorted[near]) == 0 {
 		near++
 	}
 	// Always include servers of other data centres, because they may be idle.
 	near = min(near, sampleSize-sampleSize/3)
-	return slices.Concat(records[:near], records[len(records)-(sampleSize-near):])
+	copy(sorted[near:], sorted[len(sorted)-(sampleSize-near):])
+	return sorted[:sampleSize]
 }
 
-func (e *Estimates) distance(r server.Record) int {
+// maxDistance is the largest value that distance returns.
+const maxDistance = 1
+
+func (e *Estimates) distance(r *server.Record) int {
 	if r.DataCentre == e.dataCentre {
 		return 0
 	}
@@ -181,7 +200,7 @@
 
 // Cost returns the expected response time of the server plus penalties for
 // failures and the cost of the traffic between data centres.
-func (e *Estimates) Cost(now time.Duration, class string, r server.Record) time.Duration {
+func (e *Estimates) Cost(now time.Duration, class string, r *server.Record) time.Duration {
 	n := e.estimateOf(r.Node)
 	mean := n.load.Mean
 	if mean == 0 {
--- a/internal/call/placement/placement_test.go
+++ b/internal/call/placement/placement_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -180,7 +179,7 @@
 	e := newEstimates()
 	serving := records(40, "a", "b")
 	for range 50 {
-		s := e.sample(slices.Clone(serving))
+		s := e.sample(pointers(serving))
 		is.Equal(len(s), sampleSize)
 		own := 0
 		for _, r := range s {
@@ -340,3 +339,11 @@
 		is.True(ok && mayWait)
 	}
 }
+
+func pointers(records []server.Record) []*server.Record {
+	var p []*server.Record
+	for i := range records {
+		p = append(p, &records[i])
+	}
+	return p
+}
--- a/internal/call/placement/search.go
+++ b/internal/call/placement/search.go
@@ -78,19 +78,20 @@
 	if now > s.probeUntil {
 		s.stopProbing()
 	}
-	var full []server.Record
-	for _, r := range serving {
-		if slices.Contains(s.full, r.Node) {
-			full = append(full, r)
+	full := e.full[:0]
+	for i := range serving {
+		if len(s.full) > 0 && slices.Contains(s.full, serving[i].Node) {
+			full = append(full, serving[i])
 		}
 	}
+	e.full = full
 	waiting, _, canWait := e.Choose(now, class, full, nil)
 	if s.probingEnded && s.waitRefusals >= maxWaits {
 		return rec, false, false
 	}
 	if len(s.asked) < maxProbes && !(s.probingEnded && canWait) {
 		probed, _, canProbe := e.Choose(now, class, serving, s.asked)
-		isNearer := canWait && e.distance(waiting) < e.distance(probed)
+		isNearer := canWait && e.distance(&waiting) < e.distance(&probed)
 		if canProbe && !(isNearer && e.expectedWait(now, class, waiting.Node) < e.remoteCost(class)) {
 			return probed, false, true
 		}
