--- a/internal/http1/pool/conn.go
+++ b/internal/http1/pool/conn.go
@@ -151,7 +151,7 @@
 	case r.Body != nil && r.Body != http.NoBody || r.ContentLength == 0 && r.Header.Get("Content-Length") == "0":
 		bw.WriteString("Content-Length: " + strconv.FormatInt(r.ContentLength, 10) + "\r\n")
 	}
-	if err := EndToEnd(r.Header).Write(bw); err != nil {
+	if err := endToEnd(r.Header).Write(bw); err != nil {
 		return err
 	}
 	bw.WriteString("\r\n")
--- a/internal/http1/pool/pool.go
+++ b/internal/http1/pool/pool.go
@@ -200,19 +200,42 @@
 	return false
 }
 
-// EndToEnd returns the fields of h that a proxy forwards.
-func EndToEnd(h http.Header) http.Header {
-	var connectionOptions []string
+// connectionOptions returns the field names that the Connection header of h lists.
+func connectionOptions(h http.Header) []string {
+	var options []string
 	for _, v := range h["Connection"] {
 		for n := range strings.SplitSeq(v, ",") {
-			connectionOptions = append(connectionOptions, strings.TrimSpace(n))
+			options = append(options, strings.TrimSpace(n))
 		}
 	}
+	return options
+}
+
+// EndToEnd returns the fields of h that a proxy forwards, in a header of their own.
+func EndToEnd(h http.Header) http.Header {
 	kept := make(http.Header, len(h))
-	for name, values := range h {
-		if !isHopByHop(name, connectionOptions) {
-			kept[name] = values
+	CopyEndToEnd(kept, h)
+	return kept
+}
+
+// CopyEndToEnd adds the fields of src that a proxy forwards to dst.
+func CopyEndToEnd(dst, src http.Header) {
+	options := connectionOptions(src)
+	for name, values := range src {
+		if !isHopByHop(name, options) {
+			dst[name] = values
 		}
 	}
-	return kept
+}
+
+// endToEnd returns the fields of h that a proxy forwards. It returns h itself if that has no
+// others; the caller must not change the result.
+func endToEnd(h http.Header) http.Header {
+	options := connectionOptions(h)
+	for name := range h {
+		if isHopByHop(name, options) {
+			return EndToEnd(h)
+		}
+	}
+	return h
 }
--- a/internal/proxy/peer/client.go
+++ b/internal/proxy/peer/client.go
@@ -109,14 +109,17 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// addedFieldCount is the number of header fields that Do adds to most requests.
+const addedFieldCount = 5
+
 // Do attempts a request at the node at address and returns the result.
 func (c *Client) Do(ctx context.Context, address string, r request.Request) request.Result {
-	h := pool.EndToEnd(r.Header)
+	h := make(http.Header, len(r.Header)+addedFieldCount)
+	pool.CopyEndToEnd(h, r.Header)
 	stripInternal(h)
-	h.Set(metaHeader, encodeMeta(r, c.node, sendTime{c.process, c.clock.Monotonic()}))
-	h.Set(targetHeader, encodeText(r.Target))
-	h.Set(hostHeader, encodeText(r.Host))
-	h.Set(classHeader, encodeText(r.Class))
+	// The values share an array, as Header.Set would allocate one for each.
+	v := [...]string{encodeMeta(r, c.node, sendTime{c.process, c.clock.Monotonic()}), encodeText(r.Target), encodeText(r.Host), encodeText(r.Class)}
+	h[metaHeader], h[targetHeader], h[hostHeader], h[classHeader] = v[0:1:1], v[1:2:2], v[2:3:3], v[3:4:4]
 	if r.Workspace != "" {
 		h.Set(workspaceHeader, encodeWorkspace(r))
 	}
--- a/internal/proxy/peer/handler.go
+++ b/internal/proxy/peer/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -125,7 +124,7 @@
 		return
 	}
 	defer a.Response.Body.Close()
-	maps.Copy(h, pool.EndToEnd(a.Response.Header))
+	pool.CopyEndToEnd(h, a.Response.Header)
 	h.Set(outcomeHeader, outcomeResponse)
 	if a.Shed {
 		h.Set(outcomeHeader, outcomeShed)
--- a/internal/proxy/peer/header.go
+++ b/internal/proxy/peer/header.go
@@ -57,14 +57,20 @@
 			flags |= 1 << i
 		}
 	}
-	return strings.Join([]string{
-		r.Service, r.Caller, strconv.Itoa(flags), strconv.Itoa(r.Priority),
-		strconv.FormatInt(r.Remaining.Milliseconds(), 10), strconv.FormatInt(r.Objective.Milliseconds(), 10),
-		strconv.FormatUint(uint64(r.Hash().Head()), 16), // read by nodes of earlier versions
-		node, strconv.FormatUint(at.process, 10), strconv.FormatInt(at.sent.Milliseconds(), 10),
-	}, " ")
+	b := make([]byte, 0, len(r.Service)+len(r.Caller)+len(node)+numberBytes*(metaFieldCount-3))
+	b = append(append(append(append(b, r.Service...), ' '), r.Caller...), ' ')
+	for _, n := range []int64{int64(flags), int64(r.Priority), r.Remaining.Milliseconds(), r.Objective.Milliseconds()} {
+		b = append(strconv.AppendInt(b, n, 10), ' ')
+	}
+	b = append(strconv.AppendUint(b, uint64(r.Hash().Head()), 16), ' ') // read by nodes of earlier versions
+	b = append(append(b, node...), ' ')
+	b = append(strconv.AppendUint(b, at.process, 10), ' ')
+	return string(strconv.AppendInt(b, at.sent.Milliseconds(), 10))
 }
 
+// numberBytes is the length of most numbers in a header field, with the space after it.
+const numberBytes = 16
+
 const metaFieldCount = 10
 
 // decodeMeta parses a value that encodeMeta returned. It sets the fields of r and
@@ -144,12 +150,14 @@
 
 // encodeLoad returns the value of loadHeader.
 func encodeLoad(l placement.Load) string {
-	return strings.Join([]string{
-		strconv.Itoa(l.Running), strconv.Itoa(l.Waiting), strconv.Itoa(l.Slots),
-		strconv.FormatInt(l.Mean.Microseconds(), 10), strconv.FormatInt(l.Wait.Microseconds(), 10),
-		strconv.FormatInt(l.ColdFor.Milliseconds(), 10), strconv.FormatInt(l.LinkBusy.Milliseconds(), 10),
-		strconv.FormatInt(l.TransitDelay.Milliseconds(), 10), strconv.FormatFloat(l.FailureRatio, 'f', 3, 64),
-	}, " ")
+	b := make([]byte, 0, numberBytes*loadFieldCount)
+	for _, n := range []int64{
+		int64(l.Running), int64(l.Waiting), int64(l.Slots), l.Mean.Microseconds(), l.Wait.Microseconds(),
+		l.ColdFor.Milliseconds(), l.LinkBusy.Milliseconds(), l.TransitDelay.Milliseconds(),
+	} {
+		b = append(strconv.AppendInt(b, n, 10), ' ')
+	}
+	return string(strconv.AppendFloat(b, l.FailureRatio, 'f', 3, 64))
 }
 
 const loadFieldCount = 9
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -30,20 +30,22 @@
 // whole body, and those of its prefixes of certain lengths, by which a request is recognized
 // whose body was not transferred completely. It is not safe for concurrent use.
 type Hash struct {
-	digest   *xxhash.Digest
+	digest   xxhash.Digest
 	length   int
 	next     int // length of the next prefix
 	prefixes []Fingerprint
+	first    [2]Fingerprint // the first elements of prefixes, which suffice for most requests
 }
 
 // NewHash returns the hash of a request without a body.
 func NewHash(caller, method, target string) *Hash {
-	h := &Hash{digest: xxhash.New(), next: firstPrefixBytes}
+	h := &Hash{next: firstPrefixBytes}
+	h.digest.Reset()
 	for _, s := range []string{caller, method, target} {
 		_, _ = h.digest.WriteString(s) // never fails
-		_, _ = h.digest.Write([]byte{0})
+		_, _ = h.digest.WriteString("\x00")
 	}
-	h.prefixes = []Fingerprint{h.sum()}
+	h.prefixes = append(h.first[:0], h.sum())
 	return h
 }
 
@@ -51,7 +53,7 @@
 // It counts as a prefix that is shorter than the others: a server may crash before enough of
 // the body has been transferred to tell the request from others.
 func (h *Hash) WithLength(n int64) *Hash {
-	stated := *h.digest
+	stated := h.digest
 	_, _ = stated.WriteString("length ")
 	_, _ = stated.WriteString(strconv.FormatInt(n, 10))
 	h.prefixes = append(h.prefixes, Fingerprint(stated.Sum64()))
