--- a/internal/proxy/ingress/hedge_test.go
+++ b/internal/proxy/ingress/hedge_test.go
@@ -147,7 +147,7 @@
 			if c.cancelled > 0 {
 				is.Equal(o.Reached, 2)
 				for _, r := range g.cfg.Snapshot().Serving["shop"] {
-					is.True(g.estimates.Cost(g.cfg.Clock.Monotonic(), "reads", r) < 50*time.Millisecond) // a penalty is 150 ms
+					is.True(g.estimates.Cost(g.cfg.Clock.Monotonic(), "reads", &r) < 50*time.Millisecond) // a penalty is 150 ms
 				}
 			}
 		})
