--- a/internal/proxy/ingress/outcome.go
+++ b/internal/proxy/ingress/outcome.go
@@ -95,7 +95,10 @@
 	fields := []any{"id", s.id, "status", code, "took", o.Took.String(), "service", s.service,
 		"tries", strings.Join(s.attempts, ", "), "reached", s.reached, "repeat", s.isRepeat, "servers", len(s.snapshot.Serving[s.service])}
 	if s.route != nil {
-		fields = append(fields, "route", s.route.Name, "left", (s.deadline - now).String())
+		fields = append(fields, "route", s.route.Name)
+	}
+	if s.deadline > 0 { // not set for a request without a valid key
+		fields = append(fields, "left", (s.deadline - now).String())
 	}
 	if s.giveUpReason != "" {
 		fields = append(fields, "given-up", s.giveUpReason)
