review: judge the roll-out and the stray heartbeat by the rule on added routes

The second version of the configuration now adds the route to the service, and CONFIG on routes that were added later is checked. Case 7 sends one heartbeat at one node instead of three. The two cases share the check, so they are in one commit.

--- a/review/_standin-2/client.go
+++ b/review/_standin-2/client.go
@@ -93,3 +93,22 @@
 	c.n.f.rec.line("answer %s %d %v after %.3f", id, a.status, err, a.took.Seconds())
 	return a
 }
+
+// share counts requests of one kind and those of them that were served.
+type share struct{ sent, served int }
+
+func (s share) ratio() float64 { return float64(s.served) / float64(max(s.sent, 1)) }
+
+const minRequests = 20 // on added routes, below which the rule says nothing
+
+// checkAddedRoutes checks the rule called CONFIG about routes that were added later.
+func checkAddedRoutes(rec *record, first, added share) (int, error) {
+	rec.say("on the first routes %d of %d requests were served, on the routes added later %d of %d", first.served, first.sent, added.served, added.sent)
+	if added.sent < minRequests || first.served == 0 {
+		return failed, fmt.Errorf("too few requests")
+	}
+	if added.ratio() < first.ratio()/4 {
+		return broken, nil
+	}
+	return held, nil
+}
--- a/review/_standin-2/complete.go
+++ b/review/_standin-2/complete.go
@@ -18,7 +18,8 @@
 
 const (
 	rolloutFor  = 10 // seconds; rollout_good of kdia-platform-grown has 16
-	playFor     = 80 * time.Second
+	playFor     = 45 * time.Second
+	checkAfter  = 20 * time.Second // from the order; the roll-out is over, and nothing has happened for touch
 	streetWork  = 160 * time.Millisecond
 	streetLimit = 2500 * time.Millisecond
 	streetGap   = 50 * time.Millisecond
@@ -30,11 +31,9 @@
 func complete(rec *record, trouble bool) (int, error) {
 	f, err := startFleet(spec{
 		services: []string{"resident-portal", "resident-portal", "schedule-ledger"},
-		routes: []routeSpec{
-			{"street-lookup", "/street/", "idempotent", "resident-portal", 2.5, 2},
-			{"holiday-rules", "/holiday/", "idempotent", "schedule-ledger", 2.5, 2},
-		},
-		slots: 6, bounds: kdiaBounds, later: map[int]bool{1: true},
+		routes:   []routeSpec{{"holiday-rules", "/holiday/", "idempotent", "schedule-ledger", 2.5, 2}},
+		added:    []routeSpec{{"street-lookup", "/street/", "idempotent", "resident-portal", 2.5, 2}},
+		slots:    6, bounds: kdiaBounds, later: map[int]bool{1: true},
 	}, rec)
 	if f != nil {
 		defer f.close()
@@ -47,7 +46,9 @@
 	for _, n := range f.nodes {
 		n.server.setWork(streetWork)
 	}
-	time.Sleep(2 * heartbeat)
+	if err := f.addRoutes(); err != nil {
+		return failed, err
+	}
 	if err := newServer.start(); err != nil {
 		return failed, err
 	}
@@ -61,10 +62,8 @@
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	var mu sync.Mutex
-	type count struct{ sent, served int }
-	counts := map[string]*count{}
-	for _, kind := range []string{"street", "holiday"} {
-		counts[kind] = &count{}
+	var first, added share
+	for prefix, total := range map[string]*share{"/holiday/": &first, "/street/": &added} {
 		clients.Go(func() {
 			c := newClient(f.nodes[2])
 			for i := 0; ; i++ {
@@ -74,12 +73,15 @@
 				case <-time.After(streetGap):
 				}
 				clients.Go(func() {
-					a := c.send(http.MethodGet, fmt.Sprintf("/%s/%d", kind, i), nil, streetLimit)
+					a := c.send(http.MethodGet, fmt.Sprint(prefix, i), nil, streetLimit)
+					if a.sent.Sub(ordered) < checkAfter {
+						return
+					}
 					mu.Lock()
 					defer mu.Unlock()
-					counts[kind].sent++
+					total.sent++
 					if a.status == http.StatusOK {
-						counts[kind].served++
+						total.served++
 					}
 				})
 			}
@@ -90,14 +92,7 @@
 	}
 	close(stop)
 	clients.Wait()
-	s, h := counts["street"], counts["holiday"]
-	share := float64(s.served) / float64(s.sent)
-	all := float64(s.served+h.served) / float64(s.sent+h.sent)
-	rec.say("of street-lookup %d of %d were served, of all %d of %d", s.served, s.sent, s.served+h.served, s.sent+h.sent)
-	if share < all/4 {
-		return broken, nil
-	}
-	return held, nil
+	return checkAddedRoutes(rec, first, added)
 }
 
 // play plays the platform: it watches the status of the roll-out and stops the old server when that
--- a/review/_standin-2/fleet.go
+++ b/review/_standin-2/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -26,6 +27,7 @@
 	slots    int
 	bounds   map[string]string // of the site that the case names, as far as the settings template uses them
 	later    map[int]bool      // machines whose servers start later
+	added    []routeSpec       // routes that the second version of the configuration adds
 }
 
 type routeSpec struct {
@@ -130,12 +132,28 @@
 	return nil
 }
 
+// applyTime is longer than applyS of the sites (2 and 2.5 s).
+const applyTime = 3 * time.Second
+
+// addRoutes writes the second version of the configuration, which has the added routes too, and
+// waits until it must be in force.
+func (f *fleet) addRoutes() error {
+	f.rec.say("the operator adds routes")
+	if err := f.writeConfig(2, append(slices.Clone(f.spec.routes), f.spec.added...)); err != nil {
+		return err
+	}
+	time.Sleep(applyTime)
+	return nil
+}
+
 // writeConfig writes a version of the operator's configuration.
 func (f *fleet) writeConfig(version int, routes []routeSpec) error {
 	var resources []any
 	services := map[string]bool{}
+	for _, s := range f.spec.services {
+		services[s] = true
+	}
 	for _, r := range routes {
-		services[r.service] = true
 		resources = append(resources, map[string]any{"type": "routes", "metadata": map[string]any{"name": r.name}, "spec": map[string]any{
 			"host": host, "pathPrefix": r.prefix, "routeType": r.kind, "service": r.service,
 			"timeoutS": r.timeoutS, "targetLatencyS": r.timeoutS / 2, "priority": 1, "maxAttempts": r.maxAttempts,
--- a/review/_standin-2/stray.go
+++ b/review/_standin-2/stray.go
@@ -9,18 +9,18 @@
 const (
 	lookupWork    = 220 * time.Millisecond // mean work of order-lookup
 	lookupLimit   = 1500 * time.Millisecond
-	leadTime      = 8 * time.Second // from the start of the machines to that of traffic
-	strayRequests = 150
+	strayRequests = 100 // of each kind
 	strayGap      = 200 * time.Millisecond
 )
 
-// stray sends each node one heartbeat of another writer, which names a service that no
-// configuration has, and checks that requests are still served by the servers, which go on to
-// send theirs.
+// stray sends the node beside the only server of a service one heartbeat of another writer, which
+// names a service that nobody has, and checks that requests on a route to the server are still
+// served. The server goes on to send its heartbeats.
 func stray(rec *record, trouble bool) (int, error) {
 	f, err := startFleet(spec{
-		services: []string{"orders", "orders", "orders"},
+		services: []string{"orders", "artwork", "orders"},
 		routes:   []routeSpec{{"order-lookup", "/orders/", "idempotent", "orders", 1.5, 2}},
+		added:    []routeSpec{{"die-catalogue", "/die/", "idempotent", "artwork", 1.5, 2}},
 		slots:    6, bounds: pecetBounds,
 	}, rec)
 	if f != nil {
@@ -32,37 +32,39 @@
 	for _, n := range f.nodes {
 		n.server.setWork(lookupWork)
 	}
-	time.Sleep(leadTime / 2)
+	time.Sleep(touch)
 	if trouble {
-		for _, n := range f.nodes {
-			ok := n.post("/api/Instances.Heartbeat/i-other-"+n.name, map[string]any{
-				"address": n.server.address, "born": time.Now().UnixMilli(),
-				"info":   map[string]any{"service": "unnamed", "version": "v1", "zone": n.zone, "slots": 6},
-				"status": map[string]any{"state": "ready", "seq": 1, "coldLeftS": 0},
-			})
-			rec.say("heartbeat of another writer at %s, acknowledged: %v", n.name, ok)
-		}
+		n := f.nodes[1]
+		ok := n.post("/api/Instances.Heartbeat/i-other", map[string]any{
+			"address": n.server.address, "born": time.Now().UnixMilli(),
+			"info":   map[string]any{"service": "unnamed", "version": "v1", "zone": n.zone, "slots": 6},
+			"status": map[string]any{"state": "ready", "seq": 1, "coldLeftS": 0},
+		})
+		rec.say("a heartbeat of another writer at %s, acknowledged: %v", n.name, ok)
+	}
+	time.Sleep(touch)
+	if err := f.addRoutes(); err != nil {
+		return failed, err
 	}
-	time.Sleep(leadTime / 2)
-	served := 0
-	statuses := map[int]int{}
+	var first, added share
 	last := ""
 	for i := range strayRequests {
-		a := newClient(f.nodes[i%len(f.nodes)]).send(http.MethodGet, fmt.Sprintf("/orders/%d", i), nil, lookupLimit)
-		statuses[a.status]++
-		if a.status == http.StatusOK {
-			served++
-		} else {
-			last = a.body
+		for _, kind := range []struct {
+			prefix string
+			share  *share
+		}{{"/orders/", &first}, {"/die/", &added}} {
+			a := newClient(f.nodes[i%len(f.nodes)]).send(http.MethodGet, fmt.Sprint(kind.prefix, i), nil, lookupLimit)
+			kind.share.sent++
+			if a.status == http.StatusOK {
+				kind.share.served++
+			} else {
+				last = a.body
+			}
 		}
 		time.Sleep(strayGap)
 	}
-	for _, n := range f.nodes {
-		rec.say("heartbeats of %s: %d, of them acknowledged: %d", n.server.id, n.server.beats.sent.Load(), n.server.beats.acknowledged.Load())
-	}
-	rec.say("%d of %d requests were served, answers by status: %v, the last refusal: %s", served, strayRequests, statuses, last)
-	if served == 0 {
-		return broken, nil
-	}
-	return held, nil
+	s := f.nodes[1].server
+	rec.say("heartbeats of %s: %d, of them acknowledged: %d", s.id, s.beats.sent.Load(), s.beats.acknowledged.Load())
+	rec.say("the last refusal: %s", last)
+	return checkAddedRoutes(rec, first, added)
 }
