--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main_test.go
@@ -1,11 +1,13 @@
-// Command standin-2 plays the scripted cases of the second review: it starts the nodes of a small
+// Package standin plays the scripted cases of the second review: it starts the nodes of a small
 // deployment as processes, with stand-ins of clients, backend servers and the platform's store,
-// and checks one rule by what these have seen.
-package main
+// and checks one rule by what these have seen. It consists of test files, which may use the
+// platform's names, and is built with go test -c.
+package standin
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // Exit codes of a case.
@@ -22,7 +24,9 @@
 	"stray":    stray,
 }
 
-func main() {
+// TestMain plays the case that the first argument names, and writes the record to the file that the
+// second one names.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
 		os.Exit(failed)
--- a/review/_standin-2/stray.go
+++ b/review/_standin-2/stray_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"fmt"
